--- a/kestrelarch/rules.py
+++ b/cleatyoke/rules.py
@@ -11,9 +11,9 @@
 from collections import defaultdict, deque
 from heapq import heapify, heappop, heapreplace
 
-from kestrelarch import api
-from kestrelarch.api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
-from kestrelarch.state import Agenda, Node, Request, Store, Volume, forget_before
+from cleatyoke import api
+from cleatyoke.api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
+from cleatyoke.state import Agenda, Node, Request, Store, Volume, forget_before
 
 INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds trail a surge
 FIT = 5  # intervals in a slope fit: the design's
--- a/kestrelarch/simhost.py
+++ b/cleatyoke/simhost.py
@@ -6,8 +6,8 @@
 import sys
 from typing import Any, TextIO
 
-from kestrelarch import api
-from kestrelarch.rules import Policy
+from cleatyoke import api
+from cleatyoke.rules import Policy
 
 OUTCOMES = {
     "completed": api.Outcome.SERVED,
--- a/kestrelarch/state.py
+++ b/cleatyoke/state.py
@@ -6,7 +6,7 @@
 from collections import defaultdict, deque
 from heapq import heappop, heappush
 
-from kestrelarch import api
+from cleatyoke import api
 
 
 class Request:
--- a/tests/host.py
+++ b/tests/host.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from kestrelarch import api
-from kestrelarch.rules import Policy
+from cleatyoke import api
+from cleatyoke.rules import Policy
 
 
 def class_spec(**changes: Any) -> api.ClassSpec:
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from kestrelarch import api
-from kestrelarch.api import Outcome
-from kestrelarch.rules import MARGIN, Policy
+from cleatyoke import api
+from cleatyoke.api import Outcome
+from cleatyoke.rules import MARGIN, Policy
 from tests.host import Host, entry, settings
 
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from kestrelarch import api
-from kestrelarch.api import Outcome, Repeat, Scope
+from cleatyoke import api
+from cleatyoke.api import Outcome, Repeat, Scope
 from tests.host import Host, class_spec, entry, plan_spec, settings
 
 ONCE = class_spec(repeat=Repeat.ONCE)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from kestrelarch import api
-from kestrelarch.rules import arbitrate, fit
+from cleatyoke import api
+from cleatyoke.rules import arbitrate, fit
 from tests.host import Host, class_spec, entry, plan_spec, settings
 
 
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from kestrelarch import api
-from kestrelarch.api import Outcome
-from kestrelarch.simhost import read_entry, read_settings
+from cleatyoke import api
+from cleatyoke.api import Outcome
+from cleatyoke.simhost import read_entry, read_settings
 from tests.host import Host, class_spec, entry, plan_spec, settings
 
 
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -21,6 +21,6 @@
 
 
 def test_module_stays_small() -> None:
-    lines = (ROOT / "kestrelarch" / "rules.py").read_text().splitlines()
+    lines = (ROOT / "cleatyoke" / "rules.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 460
     assert max(len(line) for line in lines) <= 110
