--- /dev/null
+++ b/cleatyoke/__main__.py
@@ -0,0 +1,91 @@
+"""The daemon: wiring, signals and the log."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+
+import structlog
+
+from cleatyoke import api
+from cleatyoke.config import BadConfig, Config, read_config
+from cleatyoke.core import Core
+from cleatyoke.directory import Directory
+from cleatyoke.net.boxes import Boxes
+from cleatyoke.net.discovery import Discovery
+from cleatyoke.net.messages import BadMessage, read_listing
+from cleatyoke.net.server import Front
+
+FIRST_WORD = 1.0  # seconds for discovery's first word, after which the old list has to do
+LINGER = 0.85  # seconds after SIGTERM in which everything is still accepted
+LAST = 2.5  # seconds more in which what was taken is answered
+log = structlog.get_logger()
+
+
+def set_up_log() -> None:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+async def run(config: Config) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    core, directory = Core(config.settings), Directory(config.zones)
+    boxes = Boxes(directory, config.dial_timeout, config.idle_close)
+    discovery = Discovery(config.discovery, directory, core.tell)
+    if config.known:
+        try:
+            discovery.take(read_listing(config.known), api.ListKind.OLD_COPY)
+        except BadMessage as error:
+            log.warning("known_list_skipped", why=str(error))
+    began = loop.time()
+    front = Front(
+        config, core, boxes, lambda: discovery.heard.is_set() or loop.time() - began > FIRST_WORD
+    )
+    watching = asyncio.create_task(discovery.run())
+    await front.listen()
+    gc.collect()
+    gc.freeze()  # what the start made stays; later collections pass over it
+    log.info("ready", name=config.name, listen=config.listen, nodes=len(directory.boxes))
+    await stop.wait()
+    log.info("leaving", open=len(core.calls))
+    front.leave()
+    await asyncio.sleep(LINGER)
+    try:
+        async with asyncio.timeout(LAST):
+            await front.close()
+    except TimeoutError:
+        log.warning("left_unanswered", open=len(core.calls))
+    watching.cancel()
+    await boxes.close()
+    log.info("left")
+
+
+def main() -> int:
+    set_up_log()
+    try:
+        config = read_config(os.environ)
+    except BadConfig as error:
+        print(f"cleatyoke: {error}", file=sys.stderr)
+        return 2
+    asyncio.run(run(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cleatyoke/config.py
@@ -0,0 +1,336 @@
+"""The one place where configuration is read, checked and given defaults. Every error names the faulty key."""
+
+from __future__ import annotations
+
+import json
+import math
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from cleatyoke import api
+
+REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
+MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
+MOST_SOCKETS = 1024
+FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
+
+
+class BadConfig(ValueError):
+    """A value that cannot be used; the text begins with its key."""
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    host: str
+    port: int
+
+
+@dataclass(slots=True, frozen=True)
+class VolumePath:
+    """Files below ``prefix`` belong to this volume."""
+
+    prefix: str
+    volume: int
+    plan: int
+    cell: int
+    hosts: int
+
+
+@dataclass(slots=True, frozen=True)
+class SftpFront:
+    listen: Address
+    volumes: list[VolumePath]
+    read_class: int
+    write_class: int
+    box_port: int  # 0: the port that discovery lists
+    most_upload: int
+    unit_bytes: int
+    most_handles: int
+    idle: float
+
+
+@dataclass(slots=True, frozen=True)
+class VrrpPeers:
+    listen: Address
+    peers: list[Address]
+    router: int
+    priority: int
+    interval: float  # seconds between advertisements
+    preempt: bool
+    addresses: list[str]
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: Any  # the old list in discovery's form, decoded by the platform front
+    settings: api.Settings
+    classes: dict[str, int]
+    plans: dict[str, int]
+    zones: dict[str, int]
+    dial_timeout: float
+    idle_close: float
+    sftp: SftpFront | None = None
+    vrrp: VrrpPeers | None = None
+
+
+@dataclass(slots=True)
+class Table:
+    """A table of the configuration, with the path that error messages give for its keys."""
+
+    values: Mapping[str, Any]
+    path: str
+    used: set[str] = field(default_factory=set)
+
+    def fail(self, key: str, why: str) -> BadConfig:
+        return BadConfig(f"{self.path}{key}: {why}")
+
+    def get(self, key: str, default: Any = None) -> Any:
+        self.used.add(key)
+        value = self.values.get(key)
+        if value is None and default is None:
+            raise self.fail(key, "missing")
+        return default if value is None else value
+
+    def number(self, key: str, default: float | None = None) -> float:
+        value = self.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+            raise self.fail(key, f"want a number, found {value!r}")
+        return float(value)
+
+    def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
+        value = self.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+            raise self.fail(key, f"want a whole number from {least} to {most}, found {value!r}")
+        return value
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self.get(key, default)
+        if not isinstance(value, str):
+            raise self.fail(key, f"want a text, found {value!r}")
+        return value
+
+    def flag(self, key: str, default: bool = False) -> bool:
+        value = self.get(key, default)
+        if not isinstance(value, bool):
+            raise self.fail(key, f"want true or false, found {value!r}")
+        return value
+
+    def one_of(self, key: str, choices: Mapping[str, Any], default: str | None = None) -> Any:
+        value = self.text(key, default)
+        if value not in choices:
+            raise self.fail(key, f"want one of {', '.join(choices)}, found {value!r}")
+        return choices[value]
+
+    def address(self, key: str) -> Address:
+        return read_address(self.text(key), f"{self.path}{key}")
+
+    def table(self, key: str, default: Mapping[str, Any] | None = None) -> Table:
+        value = self.get(key, default)
+        if not isinstance(value, Mapping):
+            raise self.fail(key, "want a table")
+        return Table(value, f"{self.path}{key}.")
+
+    def tables(self, key: str, default: list[Any] | None = None) -> list[Table]:
+        value = self.get(key, default)
+        if not isinstance(value, list) or not all(isinstance(one, Mapping) for one in value):
+            raise self.fail(key, "want a list of tables")
+        return [Table(one, f"{self.path}{key}[{place}].") for place, one in enumerate(value)]
+
+    def nothing_else(self) -> None:
+        for key in self.values:
+            if key not in self.used:
+                raise self.fail(key, "unknown key")
+
+
+def read_address(text: str, key: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) <= 65535:
+        raise BadConfig(f"{key}: want HOST:PORT, found {text!r}")
+    return Address(host.strip("[]"), int(port))
+
+
+def read_settings(facts: Mapping[str, Any], seed: int) -> api.Settings:
+    """Translate the settings: unknown keys are passed over, an absent or null figure is 0."""
+    root = Table(facts, "settings.")
+    safety, limits, extra = root.table("Safety", {}), root.table("PolicyLimits"), root.table("Extra", {})
+    classes = [
+        api.ClassSpec(
+            aim=lane.number("AimS"),
+            worth=lane.number("Worth"),
+            late_share=lane.number("LateShare", 0.0),
+            repeat=lane.one_of("Repeat", REPEATS),
+            scope=lane.one_of("DedupScope", {scope.value: scope for scope in api.Scope}, "all"),
+            memory=lane.number("MemorySpanS", 0.0),
+            ordered=lane.flag("ByArrival"),
+        )
+        for lane in root.tables("Lanes")
+    ]
+    plans = [
+        api.PlanSpec(
+            worth=plan.number("WorthFactor"),
+            rate=plan.number("BaseRate", 0.0),
+            reserve=plan.number("FloorRate", 0.0),
+            weight=plan.number("Proportion"),
+            limit=plan.number("Limit", 0.0),
+            limit_burst=plan.number("LimitBurst", 0.0),
+        )
+        for plan in root.tables("Contracts")
+    ]
+
+    def optional(key: str) -> float | None:
+        return None if safety.values.get(key) is None else safety.number(key)
+
+    return api.Settings(
+        classes=classes,
+        plans=plans,
+        safety=api.Safety(
+            cold_from=safety.number("ColdFrom", 0.0),
+            ramp=safety.number("RampTimeS", 0.0),
+            tip_multiple=safety.number("TipMultiple", 0.0),
+            tip_after=safety.number("TipAfterS", 0.0),
+            ask_every=optional("AskEveryS"),
+            key_rest=safety.number("KeyRestS", 0.0),
+            extra_free=optional("FreeResends"),
+            extra_ratio=optional("ExtraRatio"),
+            extra_window=optional("LookBackS"),
+        ),
+        seed=seed,
+        hosts=int(root.number("Siblings", 0)),
+        must_watch=facts.get("Discovery") == "subscribe",
+        max_attempts=limits.whole("SendCap", 1, 1000),
+        cancel=limits.flag("Cancel"),
+        cold_units=extra.number("ColdUnits", 0.0),
+        largest=extra.number("Largest", 0.0),
+        mean=extra.number("MeanUnits", 0.0),
+        within_share=extra.number("WithinShare", 0.0),
+        retry_after=limits.number("MaxRetryAfterS", 0.0) if limits.flag("RetryAfter") else 0.0,
+    )
+
+
+def names(tables: list[Table], key: str = "Name") -> dict[str, int]:
+    return {table.text(key): place for place, table in enumerate(tables)}
+
+
+def read_config(environment: Mapping[str, str], fronts: Path = FRONTS) -> Config:
+    """All that the daemon is told. RELAY_* variables win over the same keys of the file."""
+    path = environment.get("RELAY_CONFIG", "")
+    if not path:
+        raise BadConfig("RELAY_CONFIG: missing")
+    try:
+        values = json.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise BadConfig(f"RELAY_CONFIG: cannot read {path}: {error.strerror}") from error
+    except ValueError as error:
+        raise BadConfig(f"RELAY_CONFIG: {path} is no JSON: {error}") from error
+    if not isinstance(values, dict):
+        raise BadConfig(f"RELAY_CONFIG: {path} holds no object")
+    root = Table(values, "")
+    seed_text = root.text("seed", "0")
+    try:
+        seed = int(seed_text, 16)
+    except ValueError as error:
+        raise BadConfig(f"seed: want hex digits, found {seed_text!r}") from error
+    facts = root.table("settings")
+    limits = facts.table("PolicyLimits")
+    classes, plans = names(facts.tables("Lanes")), names(facts.tables("Contracts"))
+    sftp, vrrp = read_fronts(fronts, classes, plans)
+
+    def address(variable: str, key: str) -> Address:
+        if text := environment.get(variable):
+            return read_address(text, variable)
+        return root.address(key)
+
+    return Config(
+        name=environment.get("RELAY_NAME") or root.text("name"),
+        listen=address("RELAY_LISTEN", "listen"),
+        discovery=address("RELAY_DISCOVERY", "discovery"),
+        seed=seed,
+        sockets=root.table("limits", {}).whole("sockets", 16, 1 << 20, MOST_SOCKETS),
+        known=root.get("known", {}),
+        settings=read_settings(facts.values, seed),
+        classes=classes,
+        plans=plans,
+        zones={zone: place for place, zone in enumerate(facts.get("Areas", []))},
+        dial_timeout=limits.number("DialTimeoutS", 0.25),
+        idle_close=limits.number("IdleCloseS", 30.0),
+        sftp=sftp,
+        vrrp=vrrp,
+    )
+
+
+def read_fronts(
+    path: Path, classes: Mapping[str, int], plans: Mapping[str, int]
+) -> tuple[SftpFront | None, VrrpPeers | None]:
+    """The fronts file of the deployment; a front whose table is absent or not ``enabled`` is off."""
+    try:
+        values = tomllib.loads(path.read_text())
+    except FileNotFoundError:
+        return None, None
+    except (OSError, ValueError) as error:
+        raise BadConfig(f"{path.name}: {error}") from error
+    root = Table(values, f"{path.name}: ")
+    sftp = read_sftp(root.table("sftp", {}), classes, plans)
+    vrrp = read_vrrp(root.table("vrrp", {}))
+    root.nothing_else()
+    return sftp, vrrp
+
+
+def read_sftp(table: Table, classes: Mapping[str, int], plans: Mapping[str, int]) -> SftpFront | None:
+    enabled = table.flag("enabled")
+    if not enabled:
+        return None
+    volumes = []
+    for entry in table.tables("volume"):
+        prefix = entry.text("path")
+        if not prefix.startswith("/") or prefix != "/" + prefix.strip("/"):
+            raise entry.fail("path", f"want an absolute path without a closing slash, found {prefix!r}")
+        digits = entry.text("volume")
+        try:
+            volume = int(digits, 16)
+        except ValueError as error:
+            raise entry.fail("volume", f"want hex digits, found {digits!r}") from error
+        plan, cell = entry.one_of("plan", plans), entry.whole("shard", -1, 1 << 31)
+        volumes.append(VolumePath(prefix, volume, plan, cell, entry.whole("hosts", 1, 1 << 16, 1)))
+        entry.nothing_else()
+    front = SftpFront(
+        listen=table.address("listen"),
+        volumes=sorted(volumes, key=lambda volume: -len(volume.prefix)),
+        read_class=table.one_of("read_class", classes, "tile-read"),
+        write_class=table.one_of("write_class", classes, "record-write"),
+        box_port=table.whole("box_port", 0, 65535, 0),
+        most_upload=table.whole("most_upload", 1, MOST_WRITE, MOST_WRITE),
+        unit_bytes=table.whole("unit_bytes", 1, MOST_WRITE, 8192),
+        most_handles=table.whole("most_handles", 1, 1024, 16),
+        idle=table.number("idle_s", 60.0),
+    )
+    table.nothing_else()
+    return front
+
+
+def read_vrrp(table: Table) -> VrrpPeers | None:
+    enabled = table.flag("enabled")
+    if not enabled:
+        return None
+    peers, addresses = table.get("peers"), table.get("addresses")
+    for key, value in (("peers", peers), ("addresses", addresses)):
+        if not isinstance(value, list) or not value or not all(isinstance(one, str) for one in value):
+            raise table.fail(key, "want a list of texts")
+    vrrp = VrrpPeers(
+        listen=table.address("listen"),
+        peers=[read_address(peer, f"{table.path}peers") for peer in peers],
+        router=table.whole("router", 1, 255),
+        priority=table.whole("priority", 1, 255, 100),
+        interval=table.whole("interval_cs", 1, 4095, 100) / 100,
+        preempt=table.flag("preempt", True),
+        addresses=addresses,
+    )
+    table.nothing_else()
+    return vrrp
--- /dev/null
+++ b/cleatyoke/core.py
@@ -0,0 +1,175 @@
+"""The core of a front: one policy, its clock and wake-up, and the life of a request. It knows no wire.
+
+A front brings an ``api.Arrival`` and a function that makes one attempt at a node; ``Core.serve`` asks the
+policy where and when, and returns how the request ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+import structlog
+
+from cleatyoke import api
+from cleatyoke.rules import Policy
+
+T = TypeVar("T")
+Attempt = Callable[[int], Awaitable[tuple[api.Outcome, T | None]]]  # node -> how it ended, and its answer
+
+ATTEMPT_MARGIN = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
+ANSWER_MARGIN = 0.015  # and the core answers by itself where the policy still has not
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class Served(Generic[T]):
+    value: T | None
+
+
+@dataclass(slots=True)
+class Refused:
+    """Turned away, and trying again is harmless, best after ``wait`` seconds."""
+
+    wait: float
+
+
+@dataclass(slots=True)
+class Failed:
+    """No promise about its effect."""
+
+
+class Call:
+    """A request being served: what is said to it, and the attempt that is out."""
+
+    __slots__ = ("attempts", "over", "trying", "words")
+
+    def __init__(self) -> None:
+        self.words: asyncio.Queue[api.Send | api.Refuse | api.Fail | Served[object]] = asyncio.Queue()
+        self.trying: asyncio.Task[Any] | None = None
+        self.attempts = 0
+        self.over = False
+
+
+class Core:
+    """Owner of the one policy. Every event of one turn of the loop goes into one step."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.offset = time.time() - self.loop.time()  # once: the clock goes on evenly if the system's jumps
+        self.policy = Policy(settings)
+        self.calls: dict[str, Call] = {}
+        self.events: list[api.Event] = []
+        self.bell: asyncio.TimerHandle | None = None
+        self.numbered = 0
+
+    def now(self) -> float:
+        """Unix time, by the monotonic clock."""
+        return self.loop.time() + self.offset
+
+    def new_id(self) -> str:
+        """Ids of the core's own: a client that repeats one of its ids mixes nothing up."""
+        self.numbered += 1
+        return str(self.numbered)
+
+    def tell(self, event: api.Event) -> None:
+        if not self.events:
+            self.loop.call_soon(self.step)
+        self.events.append(event)
+
+    def step(self) -> None:
+        events, self.events = self.events, []
+        try:
+            actions = self.policy.step(self.now(), events)
+        except Exception:  # guards the other requests: each is still answered at its own deadline
+            log.exception("policy_fault", events=len(events))
+            return
+        for action in actions:
+            match action:
+                case api.Send(request) | api.Refuse(request) | api.Fail(request):
+                    if call := self.calls.get(request):
+                        call.words.put_nowait(action)
+                case api.Cancel(request, attempt):
+                    call = self.calls.get(request)
+                    if call and call.trying and attempt == call.attempts - 1:
+                        call.trying.cancel()
+                case api.Wake(after, token):
+                    if self.bell:
+                        self.bell.cancel()
+                    self.bell = self.loop.call_at(self.loop.time() + after, self.tell, api.Woken(token))
+                case api.Watch():
+                    pass  # the platform's discovery is watched from the start
+
+    async def serve(self, ask: api.Arrival, attempt: Attempt[T]) -> Served[T] | Refused | Failed:
+        """The life of a request, from its arrival to its one answer. Cancelled: the client has left."""
+        call = self.calls[ask.request] = Call()
+        self.tell(ask)
+        try:
+            async with asyncio.timeout_at(ask.deadline - ANSWER_MARGIN - self.offset):
+                while True:
+                    word = await call.words.get()
+                    match word:
+                        case api.Send(_, node):
+                            self.start(ask, call, node, attempt)
+                        case api.Refuse(_, wait):
+                            return Refused(wait)
+                        case api.Fail():
+                            return Failed()
+                        case Served(value):
+                            return Served(value)  # type: ignore[arg-type]  # by this call's own attempt
+        except asyncio.CancelledError:
+            self.tell(api.Withdrawn(ask.request))
+            raise
+        except TimeoutError:
+            # Guards against a silent policy and a loop that ran late: the client is owed an answer in time.
+            log.warning("answer_forced", request=ask.request, attempts=call.attempts)
+            self.tell(api.Withdrawn(ask.request))
+            return Failed()
+        finally:
+            call.over = True
+            while not call.words.empty():
+                # Guards the policy's count of slots: a word to send that came too late is an attempt to it.
+                if isinstance(word := call.words.get_nowait(), api.Send):
+                    self.end(ask, call, call.attempts, word.node, api.Outcome.NOT_SENT, 0.0)
+            if call.trying is None:
+                del self.calls[ask.request]
+
+    def start(self, ask: api.Arrival, call: Call, node: int, attempt: Attempt[T]) -> None:
+        """Begin an attempt in a task of its own, so that it may outlive a client that leaves."""
+        number, sent = call.attempts, self.now()
+        call.attempts += 1
+
+        def done(task: asyncio.Task[tuple[api.Outcome, T | None]]) -> None:
+            # A callback, since a task that is cancelled before its first turn runs no line of its own. By now
+            # its connection is free or closed, so that there are never two attempts out.
+            outcome, value = (api.Outcome.CANCELLED, None) if task.cancelled() else task.result()
+            call.trying = None
+            if outcome is api.Outcome.SERVED:
+                call.words.put_nowait(Served(value))
+            self.end(ask, call, number, node, outcome, self.now() - sent)
+            if call.over:
+                del self.calls[ask.request]
+
+        call.trying = asyncio.create_task(self.limited(ask.deadline, node, attempt))
+        call.trying.add_done_callback(done)
+
+    async def limited(
+        self, deadline: float, node: int, attempt: Attempt[T]
+    ) -> tuple[api.Outcome, T | None]:
+        try:
+            async with asyncio.timeout_at(deadline - ATTEMPT_MARGIN - self.offset):
+                return await attempt(node)
+        except TimeoutError:
+            return api.Outcome.TIMEOUT, None
+        except Exception:
+            log.exception("attempt_fault", node=node)
+            return api.Outcome.RESET, None  # in doubt, it may have run
+
+    def end(
+        self, ask: api.Arrival, call: Call, number: int, node: int, outcome: api.Outcome, spent: float
+    ) -> None:
+        settled = call.over or outcome is api.Outcome.SERVED
+        self.tell(api.Ended(ask.request, number, node, outcome, spent, settled))
--- /dev/null
+++ b/cleatyoke/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's front: its HTTP protocol towards clients, boxes and discovery."""
--- /dev/null
+++ b/cleatyoke/net/messages.py
@@ -0,0 +1,144 @@
+"""The messages of the platform's protocol as typed values: each is decoded once and encoded once."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs
+
+from multidict import CIMultiDict
+
+from cleatyoke import api
+from cleatyoke.config import BadConfig, Config, read_address
+from cleatyoke.directory import Instance, Listing
+
+MOST_BODY = 64 * 1024
+LONGEST_WAIT_MS = 600_000
+STATES = {
+    "SERVING": api.NodeState.LIVE,
+    "DRAINING": api.NodeState.DRAINING,
+    "DELETED": api.NodeState.GONE,
+}
+
+
+class BadMessage(ValueError):
+    """A message that cannot be taken; the text names the faulty field."""
+
+
+@dataclass(slots=True)
+class Ask:
+    """A client's request."""
+
+    trace: str
+    method: str
+    target: str  # path and query as they came
+    class_index: int
+    plan: int
+    volume: int
+    item: int
+    cell: int
+    units: float
+    hosts: int
+    wait: float  # seconds that the client waits, from when it sent the request
+    body: bytes
+
+
+def whole(text: str | None, name: str, least: int, most: int, base: int = 10) -> int:
+    """A number of a header; only digits, as int() alone would take signs, blanks and underscores."""
+    digits = (text or "").removeprefix("-")
+    if not digits.isascii() or not digits.isalnum():
+        raise BadMessage(f"{name}: want a number, found {text!r}")
+    try:
+        value = int(text or "", base)
+    except ValueError as error:
+        raise BadMessage(f"{name}: want a number, found {text!r}") from error
+    if not least <= value <= most:
+        raise BadMessage(f"{name}: {value} is not within {least} to {most}")
+    return value
+
+
+def decode_ask(
+    config: Config, method: str, target: str, headers: Mapping[str, str], body: bytes
+) -> Ask:
+    trace = headers.get("X-Trace-Id", "")
+    if not trace:
+        raise BadMessage("X-Trace-Id: missing")
+    kind, plan = headers.get("X-Qos", ""), headers.get("X-Plan", "")
+    if kind not in config.classes:
+        raise BadMessage(f"X-Qos: unknown class {kind!r}")
+    if plan not in config.plans:
+        raise BadMessage(f"X-Plan: unknown plan {plan!r}")
+    block = parse_qs(target.partition("?")[2]).get("block", [""])[0]
+    fields = dict(part.strip().partition("=")[::2] for part in headers.get("X-IO", "").split(","))
+    if method == "GET" and body:
+        raise BadMessage("Content-Length: a read has no body")
+    return Ask(
+        trace=trace,
+        method=method,
+        target=target,
+        class_index=config.classes[kind],
+        plan=config.plans[plan],
+        volume=whole(fields.get("volume"), "X-IO volume", 0, (1 << 64) - 1, 16),
+        item=whole(block, "block", 0, (1 << 64) - 1, 16),
+        cell=whole(fields.get("shard"), "X-IO shard", -1, 1 << 31),
+        units=float(whole(fields.get("units"), "X-IO units", 1, 1 << 20)),
+        hosts=whole(fields.get("hosts"), "X-IO hosts", 1, 1 << 20),
+        wait=whole(headers.get("X-Expires-In-Ms"), "X-Expires-In-Ms", 0, LONGEST_WAIT_MS) / 1000,
+        body=body,
+    )
+
+
+def encode_attempt(ask: Ask, wait: float) -> CIMultiDict[str]:
+    """The headers of an attempt; method, target and body pass on as they are."""
+    return CIMultiDict({"X-Trace-Id": ask.trace, "X-Expires-In-Ms": str(max(0, int(wait * 1000)))})
+
+
+def decode_outcome(status: int, headers: Mapping[str, str]) -> api.Outcome:
+    """What an answer's head says of its attempt; only an express word proves that it never ran."""
+    if status == 200:
+        return api.Outcome.SERVED
+    if status in (503, 504) and headers.get("X-Never-Ran") == "1":
+        return api.Outcome.FULL
+    return api.Outcome.ERROR
+
+
+def decode_listing(text: str | bytes) -> Listing:
+    try:
+        return read_listing(json.loads(text))
+    except ValueError as error:
+        raise BadMessage(str(error)) from error
+
+
+def read_listing(value: Any) -> Listing:
+    if not isinstance(value, dict):
+        raise BadMessage("want an object")
+    version, entries = value.get("generation"), value.get("instances")
+    if not isinstance(version, int) or isinstance(version, bool):
+        raise BadMessage(f"generation: want a whole number, found {version!r}")
+    if not isinstance(entries, list):
+        raise BadMessage("instances: want a list")
+    return Listing(version, value.get("reset") is True, [read_instance(entry) for entry in entries])
+
+
+def read_instance(entry: Any) -> Instance:
+    if not isinstance(entry, dict):
+        raise BadMessage("instances: want objects")
+    name, state, cell = entry.get("instanceId"), entry.get("lifecycle"), entry.get("cell")
+    started = entry.get("startedAtMs") or 0
+    if not isinstance(name, str) or not name:
+        raise BadMessage(f"instanceId: want a text, found {name!r}")
+    if state not in STATES:
+        raise BadMessage(f"lifecycle: unknown state {state!r}")
+    if cell is not None and (isinstance(cell, bool) or not isinstance(cell, int)):
+        raise BadMessage(f"cell: want a whole number, found {cell!r}")
+    if isinstance(started, bool) or not isinstance(started, int | float):
+        raise BadMessage(f"startedAtMs: want a number, found {started!r}")
+    try:
+        address = read_address(str(entry.get("hostPort")), "hostPort")
+    except BadConfig as error:
+        raise BadMessage(str(error)) from error
+    return Instance(
+        name, address, str(entry.get("zone")), -1 if cell is None else cell, STATES[state], started / 1000
+    )
--- /dev/null
+++ b/cleatyoke/sftp/__init__.py
@@ -0,0 +1,1 @@
+"""The front for SFTP-style file commands, without the cryptography."""
--- a/cleatyoke/simhost.py
+++ b/cleatyoke/simhost.py
@@ -7,6 +7,7 @@
 from typing import Any, TextIO
 
 from cleatyoke import api
+from cleatyoke.config import read_settings
 from cleatyoke.rules import Policy
 
 OUTCOMES = {
@@ -26,7 +27,6 @@
     "warm_copy": api.ListKind.OLD_COPY,
     "lost": api.ListKind.LOST,
 }
-REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 UNUSED = {"FIRST", "HEALTH", "MAIL"}  # a begun stream is the client's; the others answer what is never asked
 
 
@@ -34,59 +34,6 @@
     """A line that is not a batch of the wire."""
 
 
-def read_settings(facts: dict[str, Any], seed: int) -> api.Settings:
-    """Translate the first message's settings: unknown keys are passed over, an absent or null figure is 0."""
-    safety, limits, extra = facts.get("Safety") or {}, facts["PolicyLimits"], facts.get("Extra") or {}
-    classes = [
-        api.ClassSpec(
-            aim=lane["AimS"],
-            worth=lane["Worth"],
-            late_share=lane.get("LateShare") or 0.0,
-            repeat=REPEATS[lane["Repeat"]],
-            scope=api.Scope(lane.get("DedupScope") or "all"),
-            memory=lane.get("MemorySpanS") or 0.0,
-            ordered=bool(lane.get("ByArrival")),
-        )
-        for lane in facts["Lanes"]
-    ]
-    plans = [
-        api.PlanSpec(
-            worth=plan["WorthFactor"],
-            rate=plan.get("BaseRate") or 0.0,
-            reserve=plan.get("FloorRate") or 0.0,
-            weight=plan["Proportion"],
-            limit=plan.get("Limit") or 0.0,
-            limit_burst=plan.get("LimitBurst") or 0.0,
-        )
-        for plan in facts["Contracts"]
-    ]
-    return api.Settings(
-        classes=classes,
-        plans=plans,
-        safety=api.Safety(
-            cold_from=safety.get("ColdFrom") or 0.0,
-            ramp=safety.get("RampTimeS") or 0.0,
-            tip_multiple=safety.get("TipMultiple") or 0.0,
-            tip_after=safety.get("TipAfterS") or 0.0,
-            ask_every=safety.get("AskEveryS"),
-            key_rest=safety.get("KeyRestS") or 0.0,
-            extra_free=safety.get("FreeResends"),
-            extra_ratio=safety.get("ExtraRatio"),
-            extra_window=safety.get("LookBackS"),
-        ),
-        seed=seed,
-        hosts=facts.get("Siblings") or 0,
-        must_watch=facts.get("Discovery") == "subscribe",
-        max_attempts=limits["SendCap"],
-        cancel=bool(limits.get("Cancel")),
-        cold_units=extra.get("ColdUnits") or 0.0,
-        largest=extra.get("Largest") or 0.0,
-        mean=extra.get("MeanUnits") or 0.0,
-        within_share=extra.get("WithinShare") or 0.0,
-        retry_after=(limits.get("MaxRetryAfterS") or 0.0) if limits.get("RetryAfter") else 0.0,
-    )
-
-
 def read_entry(entry: dict[str, Any]) -> api.NodeEntry:
     cell = entry.get("Pack")
     return api.NodeEntry(
