--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -19,6 +19,9 @@
 from cleatyoke.net.discovery import Discovery
 from cleatyoke.net.messages import BadMessage, read_listing
 from cleatyoke.net.server import Front
+from cleatyoke.sftp.boxes import FileBoxes
+from cleatyoke.sftp.front import FileFront
+from cleatyoke.vrrp import Carrier
 
 FIRST_WORD = 1.0  # seconds for discovery's first word, after which the old list has to do
 LINGER = 0.85  # seconds after SIGTERM in which everything is still accepted
@@ -40,6 +43,37 @@
     )
 
 
+class FileService:
+    """The front for file commands, where it is on; with VRRP it is open while this instance is master."""
+
+    def __init__(self, front: FileFront | None = None, carrier: Carrier | None = None) -> None:
+        self.front, self.carrier = front, carrier
+
+    @classmethod
+    async def start(cls, config: Config, core: Core, directory: Directory) -> FileService:
+        if config.sftp is None:
+            return cls()
+        boxes = FileBoxes(directory, config.sftp.box_port, config.dial_timeout, config.idle_close)
+        front = FileFront(config.sftp, core, boxes)
+        if config.vrrp is None:
+            await front.open()
+            return cls(front)
+
+        async def changed(master: bool) -> None:
+            await (front.open() if master else front.close(LAST))
+
+        carrier = Carrier(config.vrrp, changed)
+        await carrier.start()
+        return cls(front, carrier)
+
+    async def close(self, patience: float) -> None:
+        if self.carrier:
+            await self.carrier.stop()
+        if self.front:
+            await self.front.close(patience)
+            self.front.boxes.close()
+
+
 async def run(config: Config) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -58,17 +92,21 @@
         config, core, boxes, lambda: discovery.heard.is_set() or loop.time() - began > FIRST_WORD
     )
     watching = asyncio.create_task(discovery.run())
-    await front.listen()
+    try:
+        await front.listen()
+        files = await FileService.start(config, core, directory)
+    except OSError as error:
+        raise BadConfig(f"listen: {error}") from error
     gc.collect()
     gc.freeze()  # what the start made stays; later collections pass over it
-    log.info("ready", name=config.name, listen=config.listen, nodes=len(directory.boxes))
+    log.info("ready", name=config.name, listen=front.address, nodes=len(directory.boxes))
     await stop.wait()
     log.info("leaving", open=len(core.calls))
     front.leave()
     await asyncio.sleep(LINGER)
     try:
         async with asyncio.timeout(LAST):
-            await front.close()
+            await asyncio.gather(front.close(), files.close(LAST))
     except TimeoutError:
         log.warning("left_unanswered", open=len(core.calls))
     watching.cancel()
@@ -79,11 +117,10 @@
 def main() -> int:
     set_up_log()
     try:
-        config = read_config(os.environ)
+        asyncio.run(run(read_config(os.environ)))
     except BadConfig as error:
         print(f"cleatyoke: {error}", file=sys.stderr)
         return 2
-    asyncio.run(run(config))
     return 0
 
 
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -49,7 +49,8 @@
     most_upload: int
     unit_bytes: int
     most_handles: int
-    idle: float
+    idle: float  # seconds that a client's connection may stand without a command
+    deadline: float  # seconds for a command, as the protocol states none
 
 
 @dataclass(slots=True, frozen=True)
@@ -310,6 +311,7 @@
         unit_bytes=table.whole("unit_bytes", 1, MOST_WRITE, 8192),
         most_handles=table.whole("most_handles", 1, 1024, 16),
         idle=table.number("idle_s", 60.0),
+        deadline=table.number("deadline_s", 1.5),
     )
     table.nothing_else()
     return front
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -15,7 +15,7 @@
 from cleatyoke.directory import Directory
 from cleatyoke.net.messages import MOST_BODY, Ask, decode_outcome, encode_attempt
 
-MOST_CONNECTIONS = 32  # to one box; the policy has at most eight attempts out at a node
+MOST_CONNECTIONS = 16  # to one box; the policy has at most eight attempts out at a node
 IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
 PLAIN = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")  # headers that aiohttp would add
 
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -13,7 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Outcome
-from cleatyoke.config import Config
+from cleatyoke.config import Address, Config
 from cleatyoke.core import ATTEMPT_MARGIN, Core, Failed, Refused, Served
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
@@ -40,6 +40,7 @@
             auto_decompress=False,
         )
         self.listener: asyncio.Server | None = None
+        self.address = config.listen
 
     def make_request(
         self,
@@ -54,10 +55,9 @@
         )
 
     async def listen(self) -> None:
-        address = self.config.listen
-        self.listener = await self.core.loop.create_server(
-            self.server, address.host, address.port, backlog=512
-        )
+        host, port = self.address.host, self.address.port
+        self.listener = await self.core.loop.create_server(self.server, host, port, backlog=512)
+        self.address = Address(*self.listener.sockets[0].getsockname()[:2])  # where the port was 0
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         response = await self.answer(request)
--- /dev/null
+++ b/cleatyoke/sftp/boxes.py
@@ -0,0 +1,241 @@
+"""File commands at a box: one attempt is one conversation, and what its ending proves."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, replace
+
+from cleatyoke.api import Outcome
+from cleatyoke.directory import Directory
+from cleatyoke.sftp.packets import (
+    VERSION,
+    Attrs,
+    BadPacket,
+    Close,
+    Code,
+    Data,
+    Flags,
+    Handle,
+    Init,
+    Name,
+    Names,
+    Open,
+    Opendir,
+    Packet,
+    Read,
+    Readdir,
+    Status,
+    Version,
+    Write,
+    decode,
+    encode,
+    read_packet,
+)
+
+MOST_IDLE = 4  # connections kept to a box
+MOST_NAMES = 20_000  # entries of a listing
+PIECE = 32 * 1024  # bytes of a WRITE: what every server must take
+IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a connection is not used again
+
+
+@dataclass(slots=True)
+class ReadRange:
+    path: str
+    offset: int
+    length: int
+
+
+@dataclass(slots=True)
+class List:
+    path: str
+
+
+@dataclass(slots=True)
+class Upload:
+    """All that was written to a handle, sent at its CLOSE."""
+
+    path: str
+    flags: int
+    attrs: Attrs
+    pieces: list[tuple[int, bytes]]
+
+
+@dataclass(slots=True)
+class Simple:
+    """A command of one packet."""
+
+    packet: Packet
+    changes: bool
+
+
+Command = ReadRange | List | Upload | Simple
+
+
+class NeverBegun(Exception):
+    """The connection failed before any byte of the command was written."""
+
+
+class NotServing(Exception):
+    """The box began to drain, or went, before the command was written."""
+
+
+class Line:
+    """A connection to a box; it carries one command at a time."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.idle_since, self.last = 0.0, 0
+
+    async def ask(self, packet: Packet) -> Packet:
+        await self.send(packet)
+        return await self.receive(self.last)
+
+    async def send(self, packet: Packet) -> None:
+        if not isinstance(packet, Init):
+            self.last += 1
+            packet = replace(packet, id=self.last)
+        self.writer.write(encode(packet))
+        await self.writer.drain()
+
+    async def receive(self, request: int) -> Packet:
+        reply = decode(await read_packet(self.reader))
+        if reply.id != request and not isinstance(reply, Version):
+            raise BadPacket(f"an answer to {reply.id}, want one to {request}")
+        return reply
+
+    def usable(self) -> bool:
+        return not self.reader.at_eof() and not self.writer.is_closing()
+
+    def abort(self) -> None:
+        self.writer.transport.abort()
+
+
+class FileBoxes:
+    """Connections to the boxes of the directory."""
+
+    def __init__(
+        self, directory: Directory, port: int, dial_timeout: float, idle_close: float
+    ) -> None:
+        self.directory, self.port = directory, port
+        self.dial_timeout, self.keep = dial_timeout, idle_close * IDLE_SHARE
+        self.idle: defaultdict[int, list[Line]] = defaultdict(list)
+        directory.watchers.append(self.drop)
+
+    def drop(self, node: int) -> None:
+        """The box drains, went or started anew."""
+        for line in self.idle.pop(node, []):
+            line.abort()
+
+    def close(self) -> None:
+        for node in list(self.idle):
+            self.drop(node)
+
+    async def attempt(self, node: int, command: Command) -> tuple[Outcome, Packet | None]:
+        """One conversation; once a byte of the command may be written, a break may mean that it ran."""
+        line, began, done = None, False, False
+        try:
+            line = await self.connect(node, fresh=isinstance(command, Upload) or changes(command))
+            if not self.directory.serves(node):  # discovery may have spoken while the connection came up
+                raise NotServing
+            began = True
+            reply = await converse(line, command)
+            done = True
+        except NotServing:
+            return Outcome.NOT_SENT, None
+        except NeverBegun:
+            return Outcome.NO_CONNECTION, None
+        except (OSError, EOFError, ValueError):
+            return Outcome.RESET if began else Outcome.NO_CONNECTION, None
+        finally:
+            if line and not (done and self.put_back(node, line)):
+                line.abort()  # nothing of a given-up attempt stays open while the next goes out
+        if isinstance(reply, Status) and reply.code == Code.SSH_FX_FAILURE:
+            return Outcome.ERROR, None
+        return Outcome.SERVED, reply  # any other status is the box's answer, and it is the client's
+
+    async def connect(self, node: int, fresh: bool) -> Line:
+        """A connection that has said its version. A change has a fresh one: on one that was idle, a break
+        could not be told from a break after the box had stored the change."""
+        box = self.directory.boxes.get(node)
+        if box is None or not self.directory.serves(node):
+            raise NotServing
+        now = asyncio.get_running_loop().time()
+        while not fresh and self.idle[node]:
+            line = self.idle[node].pop()
+            if line.usable() and now - line.idle_since < self.keep:
+                return line
+            line.abort()
+        writer = None
+        try:
+            async with asyncio.timeout(self.dial_timeout):
+                reader, writer = await asyncio.open_connection(
+                    box.address.host, self.port or box.address.port
+                )
+                line = Line(reader, writer)
+                reply = await line.ask(Init(VERSION))
+                if not isinstance(reply, Version) or reply.id != VERSION:
+                    raise BadPacket("no version 3")
+                return line
+        except (OSError, EOFError, ValueError, TimeoutError) as error:
+            if writer:
+                writer.transport.abort()
+            raise NeverBegun from error
+        except asyncio.CancelledError:
+            if writer:
+                writer.transport.abort()
+            raise
+
+    def put_back(self, node: int, line: Line) -> bool:
+        if not line.usable() or not self.directory.serves(node) or len(self.idle[node]) >= MOST_IDLE:
+            return False
+        line.idle_since = asyncio.get_running_loop().time()
+        self.idle[node].append(line)
+        return True
+
+
+def changes(command: Command) -> bool:
+    return isinstance(command, Upload) or (isinstance(command, Simple) and command.changes)
+
+
+async def converse(line: Line, command: Command) -> Packet:
+    """The whole command, top to bottom; returns the reply that decides."""
+    match command:
+        case Simple(packet, _):
+            return await line.ask(packet)
+        case ReadRange(path, offset, length):
+            opened = await line.ask(Open(0, path, Flags.READ, Attrs()))
+            if not isinstance(opened, Handle):
+                return opened
+            found = await line.ask(Read(0, opened.handle, offset, length))
+            await line.ask(Close(0, opened.handle))
+            return found if isinstance(found, Data | Status) else unexpected(found)
+        case List(path):
+            opened = await line.ask(Opendir(0, path))
+            if not isinstance(opened, Handle):
+                return opened
+            names: list[Name] = []
+            while isinstance(found := await line.ask(Readdir(0, opened.handle)), Names) and found.names:
+                names += found.names
+                if len(names) > MOST_NAMES:
+                    raise BadPacket("too long a listing")
+            await line.ask(Close(0, opened.handle))
+            ended = isinstance(found, Names) or (isinstance(found, Status) and found.code == Code.SSH_FX_EOF)
+            return Names(0, names) if ended else found
+        case Upload(path, flags, attrs, pieces):
+            opened = await line.ask(Open(0, path, flags, attrs))
+            if not isinstance(opened, Handle):
+                return opened
+            first = line.last + 1
+            for offset, data in pieces:
+                for start in range(0, len(data), PIECE):
+                    part = data[start : start + PIECE]
+                    await line.send(Write(0, opened.handle, offset + start, part))
+            await line.send(Close(0, opened.handle))
+            replies = [await line.receive(request) for request in range(first, line.last + 1)]
+            faults = [one for one in replies if not isinstance(one, Status) or one.code != Code.SSH_FX_OK]
+            return (faults or replies)[-1 if not faults else 0]
+
+
+def unexpected(packet: Packet) -> Packet:
+    raise BadPacket(f"an answer of type {packet.type}")
--- /dev/null
+++ b/tests/test_http_front.py
@@ -0,0 +1,321 @@
+"""Stories of the platform's front over loopback sockets, against scripted boxes and clients."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import aiohttp
+
+from cleatyoke import api
+from cleatyoke.api import NodeState, Outcome
+from cleatyoke.config import Address, BadConfig, read_config, read_fronts
+from cleatyoke.core import Core
+from cleatyoke.directory import Directory
+from cleatyoke.net import boxes as boxes_module
+from cleatyoke.net.boxes import Boxes
+from cleatyoke.net.discovery import Discovery
+from cleatyoke.net.messages import Ask
+from cleatyoke.net.server import Front
+from tests.wire import FACTS, DiscoveryAgent, HttpBox, answer, config, instance, listed
+
+ROOT = Path(__file__).resolve().parent.parent
+HEADERS = {
+    "X-Qos": "tile-read",
+    "X-Plan": "public",
+    "X-Expires-In-Ms": "1500",
+    "X-IO": "volume=00000003b4d60021,units=2,shard=0,hosts=1",
+}
+TARGET = "/api?block=7f3a9c21e0b4d655"
+
+
+def ask(trace: str, method: str = "GET", body: bytes = b"") -> Ask:
+    return Ask(trace, method, TARGET, int(method == "PUT"), 0, 1, 1, 0, 2.0, 1, 1.5, body)
+
+
+class FrontCase(unittest.IsolatedAsyncioTestCase):
+    async def begin(self, script: Any) -> None:
+        self.box: HttpBox = await HttpBox(script).start()
+        self.core, self.directory = Core(config().settings), Directory({})
+        self.boxes = Boxes(self.directory, 0.25, 30.0)
+        self.ready = False
+        self.front = Front(config(), self.core, self.boxes, lambda: self.ready)
+        await self.front.listen()
+        self.url = f"http://127.0.0.1:{self.front.address.port}"
+        self.core.tell(listed(self.directory, instance("s-a", self.box.port), whole=True))
+        self.client = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.end)
+
+    async def end(self) -> None:
+        await self.client.close()
+        await self.front.close()
+        await self.boxes.close()
+        self.box.stop()
+
+    async def ask(
+        self, trace: str, method: str = "GET", body: bytes = b"", **headers: str
+    ) -> tuple[int, bytes]:
+        kind = "record-write" if method == "PUT" else "tile-read"
+        every = {**HEADERS, "X-Trace-Id": trace, "X-Qos": kind} | {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+        url = self.url + TARGET
+        async with self.client.request(method, url, headers=every, data=body or None) as response:
+            return response.status, await response.read()
+
+    async def until(self, true: Any) -> None:
+        async with asyncio.timeout(5):
+            while not true():
+                await asyncio.sleep(0.005)
+
+
+class ServingStories(FrontCase):
+    async def test_a_request_passes_on_unchanged_and_its_answer_too(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer(200, b"\x00tile of " + trace.encode())
+
+        await self.begin(script)
+        self.assertEqual(await self.ask("t1", "PUT", b"scan"), (200, b"\x00tile of t1"))
+        (head,) = self.box.heads
+        self.assertTrue(head.startswith(f"PUT {TARGET} HTTP/1.1\r\n"), head)
+        self.assertIn("X-Trace-Id: t1\r\n", head)
+        self.assertNotIn("Accept-Encoding", head)
+
+    async def test_a_request_on_a_pooled_connection_that_breaks_is_not_resent_by_the_library(self) -> None:
+        async def script(trace: str) -> bytes | None:
+            return None if trace == "broken" else answer()
+
+        await self.begin(script)
+        await self.ask("warm")
+        status, _ = await self.ask("broken", "PUT", b"scan")
+        self.assertEqual((status, self.box.counts["broken"]), (502, 1))
+        self.assertEqual(self.box.accepted, 1, "the broken one was the pooled connection")
+
+    async def test_a_write_that_was_turned_away_unrun_is_sent_again(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer() if self.box.counts[trace] > 1 else answer(503, b"", "X-Never-Ran: 1")
+
+        await self.begin(script)
+        self.assertEqual((await self.ask("t", "PUT", b"scan"))[0], 200)
+        self.assertEqual(self.box.counts["t"], 2)
+
+    async def test_a_503_without_proof_is_no_refusal_of_a_write(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer(503, b"")
+
+        await self.begin(script)
+        self.assertEqual((await self.ask("t", "PUT", b"scan"))[0], 502)
+        self.assertEqual(self.box.counts["t"], 1)
+
+    async def test_a_silent_box_costs_one_attempt_and_the_answer_beats_the_client(self) -> None:
+        await self.begin(lambda trace: asyncio.sleep(60))
+        began = self.core.now()
+        status, _ = await self.ask("t", "PUT", b"scan", X_Expires_In_Ms="300")
+        self.assertLess(self.core.now() - began, 0.3)
+        self.assertEqual((status, self.box.counts["t"]), (502, 1))
+        await self.until(lambda: self.box.open == 0)  # the given-up attempt's connection is closed
+
+    async def test_a_client_that_leaves_takes_its_attempt_with_it(self) -> None:
+        await self.begin(lambda trace: asyncio.sleep(60))
+        asking = asyncio.create_task(self.ask("t"))
+        await self.until(lambda: self.box.counts["t"])
+        asking.cancel()
+        await self.until(lambda: self.box.open == 0 and not self.core.calls)
+        self.assertEqual(sum(sum(node.out) for node in self.core.policy.nodes.values()), 0)
+
+    async def test_without_a_box_a_request_is_refused_at_once(self) -> None:
+        await self.begin(lambda trace: asyncio.sleep(60))
+        self.core.tell(listed(self.directory, instance("s-a", self.box.port, NodeState.DRAINING)))
+        began = self.core.now()
+        self.assertEqual((await self.ask("t"))[0], 503)
+        self.assertLess(self.core.now() - began, 0.5)
+        self.assertEqual(self.box.accepted, 0)
+
+    async def test_bad_requests_are_answered_by_name(self) -> None:
+        await self.begin(lambda trace: asyncio.sleep(60))
+        for name, value in (
+            ("X_Qos", "tea"), ("X_Plan", "gold"), ("X_IO", "volume=zz"), ("X_Expires_In_Ms", "-1"),
+        ):  # fmt: skip
+            status, text = await self.ask("t", **{name: value})
+            self.assertEqual(status, 400)
+            self.assertIn(name.replace("_", "-"), text.decode())
+        self.assertEqual((await self.ask("t", "PUT", bytes(70_000)))[0], 413)
+        async with self.client.get(self.url + "/tea") as response:
+            self.assertEqual(response.status, 404)
+        reader, writer = await asyncio.open_connection("127.0.0.1", int(self.url.rpartition(":")[2]))
+        writer.write(b"tea\r\n\r\n")
+        self.assertIn(b" 400 ", await reader.readline())
+        writer.close()
+        self.assertEqual(self.box.accepted, 0)
+
+    async def test_up_says_when_the_front_is_ready(self) -> None:
+        await self.begin(lambda trace: asyncio.sleep(60))
+        for self.ready, status in ((False, 503), (True, 200)):
+            async with self.client.get(self.url + "/up") as response:
+                self.assertEqual(response.status, status)
+
+    async def test_a_word_to_send_that_comes_too_late_frees_its_slot(self) -> None:
+        # The client leaves in the turn in which the policy says where to send.
+        await self.begin(lambda trace: asyncio.sleep(60))
+        arrival = api.Arrival("t", 0, 0, 1, 1, 0, 1.0, self.core.now() + 1, 1)
+        serving = asyncio.create_task(self.core.serve(arrival, lambda node: asyncio.sleep(60)))  # type: ignore
+        await self.until(lambda: not self.core.calls or not self.core.calls["t"].words.empty())
+        serving.cancel()
+        await self.until(lambda: not self.core.calls and not self.core.policy.requests)
+        self.assertEqual(sum(sum(node.out) for node in self.core.policy.nodes.values()), 0)
+
+
+class BoxStories(FrontCase):
+    async def test_a_box_that_drains_while_the_connection_comes_up_is_sent_nothing(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer()
+
+        await self.begin(script)
+        real = boxes_module.GuardedRequest.send
+
+        async def late(request: Any, connection: Any) -> Any:
+            listed(self.directory, instance("s-a", self.box.port, NodeState.DRAINING))
+            return await real(request, connection)
+
+        with mock.patch.object(boxes_module.GuardedRequest, "send", late):
+            outcome, _ = await asyncio.create_task(self.boxes.attempt(1, ask("t"), 1.0))
+        self.assertEqual((outcome, self.box.counts["t"]), (Outcome.NOT_SENT, 0))
+
+    async def test_a_refused_connection_never_ran_and_pools_of_a_draining_box_are_closed(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer()
+
+        await self.begin(script)
+        await asyncio.create_task(self.boxes.attempt(1, ask("t"), 1.0))
+        self.assertEqual(self.box.open, 1)
+        listed(self.directory, instance("s-a", self.box.port, NodeState.DRAINING))
+        await self.until(lambda: self.box.open == 0)
+        self.box.stop()
+        listed(self.directory, instance("s-a", self.box.port))
+        outcome, _ = await asyncio.create_task(self.boxes.attempt(1, ask("t"), 1.0))
+        self.assertEqual(outcome, Outcome.NO_CONNECTION)
+
+
+def entry(state: str, port: int = 9) -> dict[str, Any]:
+    return {"instanceId": "s-a", "hostPort": f"127.0.0.1:{port}", "zone": "basement", "cell": 0,
+            "lifecycle": state, "startedAtMs": 0}  # fmt: skip
+
+
+class DiscoveryStory(unittest.IsolatedAsyncioTestCase):
+    async def test_a_bad_line_is_skipped_and_the_whole_list_taken(self) -> None:
+        whole = {"generation": 7, "reset": True, "instances": [entry("SERVING")]}
+        change = {"generation": 8, "reset": False, "instances": [entry("DRAINING")]}
+        agent = await DiscoveryAgent(whole, [[b"", b"{tea"], [b"", json.dumps(change).encode()]]).start()
+        directory, told = Directory({}), asyncio.Queue[api.Event]()
+        discovery = Discovery(Address("127.0.0.1", agent.port), directory, told.put_nowait)
+        task = asyncio.create_task(discovery.run())
+        async with asyncio.timeout(5):
+            news = [await told.get() for _ in range(3)]
+        task.cancel()
+        agent.stop()
+        kinds = [(one.kind, one.entries[0].state) for one in news if isinstance(one, api.NodeList)]
+        full = (api.ListKind.FULL, NodeState.LIVE)
+        self.assertEqual(kinds, [full, full, (api.ListKind.CHANGES, NodeState.DRAINING)])
+        self.assertEqual(len({one.entries[0].node for one in news if isinstance(one, api.NodeList)}), 1)
+        self.assertFalse(directory.serves(1))
+
+
+class DaemonStories(unittest.IsolatedAsyncioTestCase):
+    async def start(self, folder: str, **changes: Any) -> asyncio.subprocess.Process:
+        path = Path(folder) / "config.json"
+        values = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
+                  "settings": FACTS, **changes}  # fmt: skip
+        path.write_text(json.dumps(values))
+        kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**kept, "RELAY_CONFIG": str(path)},
+        )  # fmt: skip
+
+    async def test_sigterm_answers_what_was_taken_and_what_still_comes(self) -> None:
+        release = asyncio.Event()
+
+        async def script(trace: str) -> bytes:
+            if trace == "before":
+                await release.wait()
+            return answer()
+
+        box: HttpBox = await HttpBox(script).start()
+        known = {"generation": 1, "reset": True, "instances": [entry("SERVING", box.port)]}
+        agent = await DiscoveryAgent(known, []).start()
+        with tempfile.TemporaryDirectory() as folder:
+            address = f"127.0.0.1:{agent.port}"
+            daemon = await self.start(folder, known=known, discovery=address)
+            assert daemon.stderr
+            while b"event='ready'" not in (line := await daemon.stderr.readline()):
+                self.assertTrue(line, "the daemon ended")
+            port = int(line.split(b"port=")[1].split(b")")[0])
+            url = f"http://127.0.0.1:{port}{TARGET}"
+            async with aiohttp.ClientSession() as client:
+
+                async def ask(trace: str) -> tuple[int, str | None]:
+                    async with client.get(url, headers={**HEADERS, "X-Trace-Id": trace}) as response:
+                        return response.status, response.headers.get("Connection")
+
+                before = asyncio.create_task(ask("before"))
+                while not box.counts["before"]:
+                    await asyncio.sleep(0.005)
+                daemon.send_signal(signal.SIGTERM)
+                while b"event='leaving'" not in await daemon.stderr.readline():
+                    pass
+                self.assertEqual(await ask("after"), (200, "close"))
+                release.set()
+                self.assertEqual((await before)[0], 200)
+                async with asyncio.timeout(5):
+                    rest = await daemon.stderr.read()
+                    self.assertEqual(await daemon.wait(), 0, rest)
+        box.stop()
+        agent.stop()
+
+    async def test_bad_configuration_ends_with_one_line_that_names_the_key(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            daemon = await self.start(folder, listen="nowhere")
+            _, errors = await daemon.communicate()
+        self.assertEqual((daemon.returncode, errors.count(b"\n")), (2, 1))
+        self.assertTrue(errors.startswith(b"cleatyoke: listen: "), errors)
+
+
+class ConfigCase(unittest.TestCase):
+    def test_faults_are_named(self) -> None:
+        good: dict[str, Any] = {"name": "n", "listen": "h:1", "discovery": "h:2", "settings": FACTS}
+        lanes = [{**FACTS["Lanes"][0], "Repeat": "tea"}]
+        cases: list[tuple[dict[str, Any], str]] = [
+            ({"seed": "xyz"}, "seed:"),
+            ({"settings": {**FACTS, "Lanes": lanes}}, "settings.Lanes[0].Repeat:"),
+            ({"settings": {**FACTS, "PolicyLimits": {}}}, "settings.PolicyLimits.SendCap: missing"),
+            ({"limits": {"sockets": "many"}}, "limits.sockets:"),
+        ]
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            for change, said in cases:
+                path.write_text(json.dumps({**good, **change}))
+                with self.assertRaises(BadConfig) as caught:
+                    read_config({"RELAY_CONFIG": str(path)})
+                self.assertTrue(str(caught.exception).startswith(said), caught.exception)
+
+    def test_the_fronts_file_is_off_as_shipped_and_checked_when_on(self) -> None:
+        shipped = ROOT / "deploy" / "fronts.toml"
+        classes, plans = {"tile-read": 0, "record-write": 1}, {"public": 0}
+        self.assertEqual(read_fronts(shipped, classes, plans), (None, None))
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "fronts.toml"
+            path.write_text(shipped.read_text().replace("enabled = false", "enabled = true"))
+            sftp, vrrp = read_fronts(path, classes, plans)
+            assert sftp and vrrp
+            self.assertEqual((sftp.volumes[0].prefix, vrrp.interval), ("/plats", 1.0))
+            path.write_text(path.read_text().replace("unit_bytes", "unit_byte"))
+            with self.assertRaisesRegex(BadConfig, r"^fronts.toml: sftp.unit_byte: unknown key"):
+                read_fronts(path, classes, plans)
--- /dev/null
+++ b/tests/test_middleware.py
@@ -0,0 +1,59 @@
+"""The middleware on a common aiohttp.web application, with handlers in the place of boxes."""
+
+from __future__ import annotations
+
+import unittest
+
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+
+from cleatyoke import api
+from cleatyoke.core import Core
+from cleatyoke.directory import Directory
+from cleatyoke.middleware import NODE, NeverRan, scheduled
+from tests.host import plan_spec
+from tests.wire import instance, listed, two_classes
+
+
+class MiddlewareCase(unittest.IsolatedAsyncioTestCase):
+    async def ask(self, method: str, script: list[object], node: bool = True) -> tuple[int, list[int | None]]:
+        """The status, and the node of each run of the handler, which does as scripted."""
+        core = Core(two_classes(plans=[plan_spec(rate=80.0, reserve=80.0)]))
+        if node:
+            core.tell(listed(Directory({}), instance("s-0", 1), whole=True))
+        runs: list[int | None] = []
+
+        async def handler(request: web.Request) -> web.Response:
+            runs.append(request.get(NODE))
+            match script.pop(0):
+                case Exception() as error:
+                    raise error
+                case status:
+                    return web.Response(status=int(str(status)))
+
+        async def describe(request: web.Request) -> api.Arrival | None:
+            if request.path == "/free":
+                return None
+            kind = int(request.method == "PUT")
+            return api.Arrival(core.new_id(), kind, 0, 1, 1, 0, 1.0, core.now() + 1.0, 1)
+
+        app = web.Application(middlewares=[scheduled(core, describe)])
+        app.router.add_route("*", "/{path:.*}", handler)
+        async with TestClient(TestServer(app)) as client:
+            response = await client.request(method.split()[0], method.split()[1])
+            return response.status, runs
+
+    async def test_a_handler_runs_at_the_node_that_the_core_names(self) -> None:
+        self.assertEqual(await self.ask("GET /tile", [200]), (200, [1]))
+        self.assertEqual(await self.ask("GET /free", [200]), (200, [None]))
+
+    async def test_a_write_runs_again_only_if_it_never_ran(self) -> None:
+        self.assertEqual(await self.ask("PUT /tile", [NeverRan(), 201]), (201, [1, 1]))
+        self.assertEqual(await self.ask("PUT /tile", [500, 201]), (500, [1]))
+        self.assertEqual(await self.ask("PUT /tile", [RuntimeError("half done"), 201]), (502, [1]))
+
+    async def test_an_http_exception_is_the_handler_s_answer(self) -> None:
+        self.assertEqual(await self.ask("GET /tile", [web.HTTPNotFound()]), (404, [1]))
+
+    async def test_without_a_node_a_request_is_refused(self) -> None:
+        self.assertEqual(await self.ask("GET /tile", [200], node=False), (503, []))
--- /dev/null
+++ b/tests/test_sftp_front.py
@@ -0,0 +1,221 @@
+"""Stories of the front for file commands, against stand-in boxes that count executions of each write."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+from typing import Any
+
+from cleatyoke import api
+from cleatyoke.api import NodeState
+from cleatyoke.config import Address, SftpFront, VolumePath
+from cleatyoke.core import Core
+from cleatyoke.directory import Directory
+from cleatyoke.sftp import packets as p
+from cleatyoke.sftp.boxes import FileBoxes
+from cleatyoke.sftp.front import FileFront
+from tests.host import plan_spec
+from tests.wire import FileBox, instance, listed, two_classes
+
+NONE = p.Attrs()
+STORE = p.Flags.WRITE | p.Flags.CREAT | p.Flags.TRUNC
+PUBLIC = plan_spec(rate=80.0, reserve=80.0)
+
+
+class Client:
+    """A client of the draft: one command at a time."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer, self.last = reader, writer, 0
+
+    async def ask(self, packet: p.Packet) -> Any:
+        self.last += 1
+        self.writer.write(p.encode(replace(packet, id=self.last)))
+        reply = p.decode(await p.read_packet(self.reader))
+        assert reply.id == self.last, reply
+        return reply
+
+    async def put(self, path: str, content: bytes) -> p.Status:
+        """An upload; the status that decides: of CLOSE, or of the WRITE that was turned down."""
+        handle = (await self.ask(p.Open(0, path, STORE, NONE))).handle
+        for start in range(0, len(content), 32768):
+            await self.ask(p.Write(0, handle, start, content[start : start + 32768]))
+        return await self.ask(p.Close(0, handle))
+
+    async def list(self, path: str) -> list[str] | p.Status:
+        opened = await self.ask(p.Opendir(0, path))
+        if isinstance(opened, p.Status):
+            return opened
+        names = []
+        while isinstance(found := await self.ask(p.Readdir(0, opened.handle)), p.Names):
+            names += [name.filename for name in found.names]
+        await self.ask(p.Close(0, opened.handle))
+        return names
+
+
+class SftpCase(unittest.IsolatedAsyncioTestCase):
+    async def begin(self, *boxes: FileBox, plan: api.PlanSpec = PUBLIC, **changes: Any) -> Client:
+        self.core, self.directory = Core(two_classes(plans=[plan])), Directory({})
+        front = SftpFront(
+            Address("127.0.0.1", 0), [VolumePath("/plats", 7, 0, 0, 1)], 0, 1, 0, 65536, 8192, 4, 5.0, 1.0
+        )
+        self.files = FileBoxes(self.directory, 0, 0.25, 30.0)
+        self.front = FileFront(replace(front, **changes), self.core, self.files)
+        await self.front.open()
+        self.boxes = [await box.start() for box in boxes]
+        if boxes:
+            self.core.tell(listed(self.directory, instance("s-0", boxes[0].port), whole=True))
+        self.clients: list[Client] = []
+        self.addAsyncCleanup(self.end)
+        client = await self.connect()
+        client.writer.write(p.encode(p.Init(p.VERSION)))
+        self.assertEqual(p.decode(await p.read_packet(client.reader)), p.Version(p.VERSION))
+        return client
+
+    async def connect(self) -> Client:
+        assert self.front.listener
+        port = self.front.listener.sockets[0].getsockname()[1]
+        self.clients.append(Client(*await asyncio.open_connection("127.0.0.1", port)))
+        return self.clients[-1]
+
+    async def end(self) -> None:
+        for client in self.clients:
+            client.writer.close()
+        await self.front.close(1.0)
+        self.files.close()
+        for box in self.boxes:
+            box.stop()
+
+    def failed(self, status: Any, code: p.Code, said: str) -> None:
+        self.assertIsInstance(status, p.Status)
+        self.assertEqual(status.code, code, status)
+        self.assertIn(said, status.message)
+
+    async def test_an_upload_is_stored_once_and_read_and_listed_and_renamed(self) -> None:
+        client = await self.begin(box := FileBox())
+        scan = bytes(range(256)) * 200
+        self.assertEqual((await client.put("/plats/t1", scan)).code, p.Code.SSH_FX_OK)
+        self.assertEqual((box.files["/plats/t1"], box.stored["/plats/t1"]), (scan, 1))
+        self.assertEqual(box.commands, ["Open", "Write", "Write", "Close"])
+        handle = (await client.ask(p.Open(0, "/plats/../plats/t1", p.Flags.READ, NONE))).handle
+        self.assertEqual((await client.ask(p.Read(0, handle, 250, 10))).data, scan[250:260])
+        self.assertEqual((await client.ask(p.Fstat(0, handle))).attrs.size, len(scan))
+        self.assertEqual(await client.list("/plats"), ["/plats/t1"])
+        renamed = await client.ask(p.Rename(0, "/plats/t1", "/plats/t2"))
+        self.assertEqual(renamed.code, p.Code.SSH_FX_OK)
+        self.failed(await client.ask(p.Rename(0, "/plats/t1", "/else")), p.Code.SSH_FX_NO_SUCH_FILE, "volume")
+        missing = await client.ask(p.Open(0, "/plats/none", p.Flags.READ, NONE))
+        self.failed(missing, p.Code.SSH_FX_NO_SUCH_FILE, "no such file")
+
+    async def test_an_upload_that_broke_after_it_may_have_been_stored_is_never_sent_again(self) -> None:
+        client = await self.begin(box := FileBox(breaks=True))
+        status = await client.put("/plats/t1", b"scan")
+        self.failed(status, p.Code.SSH_FX_FAILURE, "the change may have been made")
+        self.assertEqual((box.stored["/plats/t1"], box.commands.count("Open"), box.accepted), (1, 1, 1))
+
+    async def test_a_listing_repeated_after_a_drain_does_not_reach_the_draining_box(self) -> None:
+        old, new = FileBox(), FileBox()
+        client = await self.begin(old, new)
+        old.files["/plats/t1"] = new.files["/plats/t1"] = b"scan"
+        self.assertEqual(await client.list("/plats"), ["/plats/t1"])
+        before = list(old.commands)
+        self.core.tell(
+            listed(
+                self.directory,
+                instance("s-0", old.port, NodeState.DRAINING),
+                instance("s-1", new.port),
+            )
+        )
+        self.assertEqual(await client.list("/plats"), ["/plats/t1"])
+        self.assertEqual((old.commands, new.commands), (before, before))
+
+    async def test_a_box_that_drains_while_the_connection_comes_up_is_sent_no_command(self) -> None:
+        client = await self.begin(box := FileBox())
+        real = box.reply
+
+        def reply(packet: p.Packet, handles: Any) -> p.Packet | None:
+            if isinstance(packet, p.Init):
+                event = listed(self.directory, instance("s-0", box.port, NodeState.DRAINING))
+                self.core.tell(event)
+            return real(packet, handles)
+
+        box.reply = reply  # type: ignore[method-assign]
+        self.failed(await client.put("/plats/t1", b"scan"), p.Code.SSH_FX_FAILURE, "refused")
+        self.assertEqual(box.commands, [])
+
+    async def test_without_a_box_a_command_is_refused_and_nothing_was_done(self) -> None:
+        client = await self.begin()
+        self.failed(await client.put("/plats/t1", b"scan"), p.Code.SSH_FX_FAILURE, "nothing was done")
+
+    async def test_a_silent_box_is_given_up_by_the_deadline(self) -> None:
+        client = await self.begin(box := FileBox(silent=True), deadline=0.3)
+        began = self.core.now()
+        status = await client.put("/plats/t1", b"scan")
+        self.failed(status, p.Code.SSH_FX_FAILURE, "the change may have been made")
+        self.assertLess(self.core.now() - began, 0.3)
+        self.assertEqual(box.commands, ["Open"])
+
+    async def test_uploads_beyond_the_limit_of_public_are_refused(self) -> None:
+        plan = replace(PUBLIC, limit=1.0, limit_burst=8.0)  # a host that starts has none of it to spare
+        client = await self.begin(box := FileBox(), plan=plan, deadline=0.4)
+        self.failed(await client.put("/plats/t1", b"scan"), p.Code.SSH_FX_FAILURE, "refused")
+        self.core.policy.volumes[7].limit.level = 2.0
+        codes = [(await client.put(f"/plats/u{n}", b"scan")).code for n in range(4)]
+        self.assertEqual(codes.count(p.Code.SSH_FX_OK), sum(box.stored.values()))
+        self.assertIn(sum(box.stored.values()), (2, 3))  # two, and one more if a second has gone by
+
+    async def test_an_upload_beyond_the_bound_is_not_stored_in_part(self) -> None:
+        client = await self.begin(box := FileBox())
+        status = await client.put("/plats/t1", bytes(65537))
+        self.failed(status, p.Code.SSH_FX_FAILURE, "not stored")
+        self.assertEqual(box.accepted, 0)
+
+    async def test_bad_packets_handles_and_commands_are_told_apart(self) -> None:
+        client = await self.begin(FileBox())
+        self.failed(await client.ask(p.Close(0, b"99")), p.Code.SSH_FX_FAILURE, "unknown handle")
+        self.failed(await client.ask(p.Read(0, b"99", 0, 1)), p.Code.SSH_FX_FAILURE, "unknown handle")
+        both = p.Open(0, "/plats/a", p.Flags.READ | p.Flags.WRITE, NONE)
+        self.failed(await client.ask(both), p.Code.SSH_FX_OP_UNSUPPORTED, "not both")
+        for number in range(4):
+            await client.ask(p.Open(0, f"/plats/{number}", STORE, NONE))
+        self.failed(await client.ask(p.Open(0, "/plats/a", STORE, NONE)), p.Code.SSH_FX_FAILURE, "too many")
+        client.writer.write(p.u32(9) + bytes([200]) + p.u32(77) + p.u32(0))  # SSH_FXP_EXTENDED
+        reply = p.decode(await p.read_packet(client.reader))
+        self.assertEqual((reply.id, reply.code), (77, p.Code.SSH_FX_OP_UNSUPPORTED))  # type: ignore
+        client.writer.write(p.u32(9) + bytes([17]) + p.u32(78) + p.u32(500))  # a path beyond the packet
+        reply = p.decode(await p.read_packet(client.reader))
+        self.assertEqual((reply.id, reply.code), (78, p.Code.SSH_FX_BAD_MESSAGE))  # type: ignore
+        client.writer.write(p.u32(1 << 30))  # a length that no packet has: the stream is lost
+        self.assertEqual(await client.reader.read(), b"")
+        other = await self.connect()
+        other.writer.write(p.encode(p.Stat(5, "/plats")))
+        reply = p.decode(await p.read_packet(other.reader))
+        self.failed(reply, p.Code.SSH_FX_BAD_MESSAGE, "INIT comes first")
+        self.assertEqual(await other.reader.read(), b"")
+
+    async def test_a_client_that_leaves_takes_its_command_with_it(self) -> None:
+        client = await self.begin(box := FileBox(silent=True))
+        client.writer.write(p.encode(p.Stat(1, "/plats/t1")))
+        async with asyncio.timeout(5):
+            while not box.commands:
+                await asyncio.sleep(0.005)
+            client.writer.close()
+            while box.open or self.core.calls or self.front.sessions:
+                await asyncio.sleep(0.005)
+
+
+class PacketCase(unittest.TestCase):
+    def test_every_field_survives_encoding(self) -> None:
+        attrs = p.Attrs(5, (1, 2), 0o644, (3, 4), [(b"a", b"b")])
+        for packet in (
+            p.Open(1, "/ä\udcff", 26, attrs),
+            p.Names(2, [p.Name("a", "-rw a", attrs), p.Name("b", "b", NONE)]),
+            p.Write(3, b"h", 1 << 40, b"data"),
+            p.Status(4, 8, "no", "en"),
+        ):
+            raw = p.encode(packet)
+            self.assertEqual(p.decode(raw[4:]), packet)
+            for cut in range(5, len(raw) - 4):
+                with self.assertRaises(p.BadPacket):
+                    p.decode(raw[4 : 4 + cut])
--- /dev/null
+++ b/tests/test_vrrp.py
@@ -0,0 +1,95 @@
+"""VRRP: the state machine with times worked by hand, and a takeover over UDP on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from cleatyoke.config import Address, VrrpPeers
+from cleatyoke.vrrp import Advertisement, BadAdvertisement, Carrier, Router, State, decode, encode
+
+
+def said(priority: int, interval: float = 1.0) -> Advertisement:
+    return Advertisement(1, priority, interval, ("10.0.0.9",))
+
+
+class RouterCase(unittest.TestCase):
+    def backup(self, priority: int = 128, preempt: bool = True) -> Router:
+        router = Router(priority, 1.0, preempt, "10.0.0.2")
+        self.assertEqual(router.startup(100.0), [])
+        return router
+
+    def test_a_backup_takes_over_after_three_intervals_and_its_skew(self) -> None:
+        router = self.backup()  # skew (256 - 128) / 256 = 0.5
+        self.assertEqual((router.state, router.due), (State.BACKUP, 103.5))
+        self.assertEqual(router.received(said(200), "10.0.0.1", 102.0), [])
+        self.assertEqual(router.due, 105.5)
+        self.assertEqual(router.timer(105.4), [])
+        self.assertEqual(router.timer(105.5), [128])
+        self.assertEqual((router.state, router.due), (State.MASTER, 106.5))
+
+    def test_the_owner_is_master_at_once_and_says_so_when_it_leaves(self) -> None:
+        router = Router(255, 1.0, True, "10.0.0.2")
+        self.assertEqual(router.startup(100.0), [255])
+        self.assertEqual(router.shutdown(), [0])
+        self.assertEqual(router.state, State.INITIALIZE)
+
+    def test_a_master_that_leaves_is_followed_after_the_skew_alone(self) -> None:
+        router = self.backup()
+        router.received(said(0), "10.0.0.1", 101.0)
+        self.assertEqual(router.due, 101.5)
+
+    def test_preemption(self) -> None:
+        for preempt, due in ((True, 103.5), (False, 105.5)):
+            router = self.backup(preempt=preempt)
+            router.received(said(100), "10.0.0.1", 102.0)
+            self.assertEqual(router.due, due)
+
+    def test_of_two_masters_the_higher_priority_stays_then_the_higher_address(self) -> None:
+        for priority, source, stays in (
+            (100, "10.0.0.9", True), (200, "10.0.0.1", False),
+            (128, "10.0.0.1", True), (128, "10.0.0.10", False),
+        ):  # fmt: skip
+            router = self.backup()
+            router.timer(103.5)
+            router.received(said(priority), source, 104.0)
+            self.assertEqual(router.state is State.MASTER, stays, (priority, source))
+
+    def test_the_master_s_interval_is_the_backup_s(self) -> None:
+        router = self.backup()
+        router.received(said(200, 2.0), "10.0.0.1", 102.0)
+        self.assertEqual(router.due, 102.0 + 6.0 + 1.0)
+
+    def test_messages(self) -> None:
+        message = encode(said(100, 2.5))
+        self.assertEqual(message[:6], bytes([0x31, 1, 100, 1, 0, 250]))
+        self.assertEqual(decode(message), said(100, 2.5))
+        wrong = (b"", message[:-4], bytes([0x21]) + message[1:], message[:-1] + b"\0", message + bytes(4))
+        for bad in wrong:
+            with self.assertRaises(BadAdvertisement):
+                decode(bad)
+
+
+class TakeoverStory(unittest.IsolatedAsyncioTestCase):
+    async def test_the_backup_is_master_once_the_master_has_left(self) -> None:
+        carriers: list[Carrier] = []
+        news: list[asyncio.Queue[bool]] = []
+        for host, priority in (("127.0.0.1", 200), ("127.0.0.2", 100)):
+            heard: asyncio.Queue[bool] = asyncio.Queue()
+            config = VrrpPeers(Address(host, 0), [], 1, priority, 0.05, True, ["10.0.0.9"])
+            carriers.append(Carrier(config, heard.put))
+            news.append(heard)
+        first = await carriers[0].start()
+        carriers[1].config.peers.append(first)
+        second = await carriers[1].start()
+        carriers[0].config.peers.append(second)
+        async with asyncio.timeout(5):
+            while not await news[0].get():
+                pass
+            while carriers[1].router.state is State.MASTER:  # if it was first, it now hears of the other
+                await news[1].get()
+            await carriers[0].stop()
+            while not await news[1].get():
+                pass
+        self.assertIs(carriers[1].router.state, State.MASTER)
+        await carriers[1].stop()
--- /dev/null
+++ b/tests/wire.py
@@ -0,0 +1,214 @@
+"""Scripted peers on loopback: boxes and discovery for the platform's front, boxes for file commands."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
+
+from cleatyoke import api
+from cleatyoke.config import Address, Config
+from cleatyoke.directory import Directory, Instance, Listing
+from cleatyoke.sftp import packets as p
+from tests.host import class_spec, plan_spec, settings
+
+FACTS: dict[str, Any] = {
+    "Areas": ["basement"],
+    "Contracts": [
+        {"Name": "public", "BaseRate": 8.0, "FloorRate": 4.0, "Proportion": 1.0, "WorthFactor": 1.0}
+    ],
+    "Lanes": [
+        {"Name": "tile-read", "AimS": 0.5, "Repeat": "repeatable", "Worth": 3.0},
+        {"Name": "record-write", "AimS": 0.5, "Repeat": "once", "Worth": 2.0},
+    ],
+    "PolicyLimits": {"Cancel": True, "SendCap": 4, "DialTimeoutS": 0.25, "IdleCloseS": 30.0},
+    "Siblings": 1,
+}
+
+
+def two_classes(**changes: Any) -> api.Settings:
+    once = class_spec(repeat=api.Repeat.ONCE, worth=2.0)
+    return settings([class_spec(worth=3.0), once], hosts=1, max_attempts=4, **changes)
+
+
+def config(**changes: Any) -> Config:
+    base = Config(
+        name="n0",
+        listen=Address("127.0.0.1", 0),
+        discovery=Address("127.0.0.1", 1),
+        seed=1,
+        sockets=1024,
+        known={},
+        settings=two_classes(plans=[plan_spec(rate=80.0, reserve=80.0)]),
+        classes={"tile-read": 0, "record-write": 1},
+        plans={"public": 0},
+        zones={"basement": 0},
+        dial_timeout=0.25,
+        idle_close=30.0,
+    )
+    return replace(base, **changes)
+
+
+def instance(name: str, port: int, state: api.NodeState = api.NodeState.LIVE, cell: int = 0) -> Instance:
+    return Instance(name, Address("127.0.0.1", port), "basement", cell, state, 0.0)
+
+
+def listed(directory: Directory, *instances: Instance, whole: bool = False) -> api.NodeList:
+    kind = api.ListKind.FULL if whole else api.ListKind.CHANGES
+    return api.NodeList(kind, directory.apply(Listing(1, whole, list(instances))))
+
+
+class Peer:
+    """A listener whose connections are handled by the subclass; ``open`` counts those that stand."""
+
+    def __init__(self) -> None:
+        self.port, self.open, self.accepted = 0, 0, 0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> Any:
+        self.server = await asyncio.start_server(self.connected, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        self.open += 1
+        self.writers.add(writer)
+        try:
+            await self.converse(reader, writer)
+        except (EOFError, OSError):
+            pass
+        finally:
+            self.open -= 1
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        if self.server:
+            self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+Script = Callable[[str], Awaitable[bytes | None]]  # trace id -> a whole answer, or None to break off
+
+
+class HttpBox(Peer):
+    """Counts each request that came whole, by its id, and answers as scripted."""
+
+    def __init__(self, script: Script) -> None:
+        super().__init__()
+        self.script, self.heads = script, []
+        self.counts: defaultdict[str, int] = defaultdict(int)
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if line)
+            await reader.readexactly(int(fields.get("Content-Length", 0)))
+            self.heads.append(head)
+            self.counts[fields["X-Trace-Id"]] += 1
+            answering = asyncio.ensure_future(self.script(fields["X-Trace-Id"]))
+            closing = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait({answering, closing}, return_when=asyncio.FIRST_COMPLETED)
+            closing.cancel()
+            await asyncio.gather(closing, return_exceptions=True)
+            if not answering.done():
+                answering.cancel()
+                return
+            if (answer := answering.result()) is None:
+                return
+            writer.write(answer)
+
+
+def answer(status: int = 200, body: bytes = b"tile", *headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers, "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+class DiscoveryAgent(Peer):
+    """Serves ``whole`` as the list; each watch gets the next of the scripted rounds of lines."""
+
+    def __init__(self, whole: dict[str, Any], rounds: list[list[bytes]]) -> None:
+        super().__init__()
+        self.whole, self.rounds, self.asked = whole, rounds, []
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            target = (await reader.readuntil(b"\r\n\r\n")).decode().split()[1]
+            self.asked.append(target)
+            if "watch" not in target:
+                writer.write(answer(200, json.dumps(self.whole).encode()))
+                continue
+            writer.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for line in self.rounds.pop(0) if self.rounds else []:
+                writer.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+            await reader.read(1)  # until the front closes
+            return
+
+
+class FileBox(Peer):
+    """A box for file commands; ``stored`` counts executions of a write, at its CLOSE, by path."""
+
+    def __init__(self, breaks: bool = False, silent: bool = False) -> None:
+        super().__init__()
+        self.breaks, self.silent = breaks, silent
+        self.files: dict[str, bytes] = {}
+        self.stored: defaultdict[str, int] = defaultdict(int)
+        self.commands: list[str] = []
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        handles: dict[bytes, tuple[str, bytearray]] = {}
+        while True:
+            packet = p.decode(await p.read_packet(reader))
+            if not isinstance(packet, p.Init):
+                self.commands.append(type(packet).__name__)
+                if self.silent:
+                    continue
+            reply = self.reply(packet, handles)
+            if reply is None:
+                return
+            writer.write(p.encode(reply))
+
+    def reply(self, packet: p.Packet, handles: dict[bytes, tuple[str, bytearray]]) -> p.Packet | None:
+        done = p.Status(packet.id, p.Code.SSH_FX_OK)
+        missing = p.Status(packet.id, p.Code.SSH_FX_NO_SUCH_FILE, "no such file")
+        match packet:
+            case p.Init():
+                return p.Version(p.VERSION)
+            case p.Open(_, path, flags, _):
+                if flags & p.Flags.READ and path not in self.files:
+                    return missing
+                handles[b"%d" % packet.id] = path, bytearray(self.files.get(path, b""))
+                return p.Handle(packet.id, b"%d" % packet.id)
+            case p.Opendir(_, path):
+                handles[b"d"] = path, bytearray(b"unread")
+                return p.Handle(packet.id, b"d")
+            case p.Readdir():
+                path, unread = handles[b"d"]
+                handles[b"d"] = path, bytearray()
+                names = [p.Name(one, one, p.Attrs()) for one in self.files if one.startswith(path)]
+                end = p.Status(packet.id, p.Code.SSH_FX_EOF)
+                return p.Names(packet.id, names) if unread and names else end
+            case p.Write(_, handle, offset, data):
+                handles[handle][1][offset : offset + len(data)] = data
+            case p.Read(_, handle, offset, length):
+                return p.Data(packet.id, bytes(handles[handle][1][offset : offset + length]))
+            case p.Close(_, handle):
+                path, content = handles.pop(handle)
+                if handle != b"d" and self.files.get(path) != content:
+                    self.files[path] = bytes(content)
+                    self.stored[path] += 1
+                    return None if self.breaks else done
+            case p.Stat(_, path):
+                if path not in self.files:
+                    return missing
+                return p.AttrsReply(packet.id, p.Attrs(size=len(self.files[path])))
+        return done
