--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -20,10 +20,18 @@
 
 IDLE = 75.0  # seconds that a client's connection may stand without a whole request
 BODY = 5.0  # seconds for a body to come
-SOCKETS_KEPT = 320  # descriptors kept for boxes, discovery and the process itself
+SOCKETS_KEPT = 400  # descriptors kept for boxes, discovery, file commands and the process itself
+OVERFLOW = 56  # connections beyond the bound that still get an answer, a 503
 log = structlog.get_logger()
 
 
+class TurnedAway(asyncio.Protocol):
+    """A connection beyond every bound ends at once, before it can starve those to the boxes."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.close()
+
+
 class Front:
     """One listener. ``handle`` is the whole life of a message."""
 
@@ -56,9 +64,14 @@
 
     async def listen(self) -> None:
         host, port = self.address.host, self.address.port
-        self.listener = await self.core.loop.create_server(self.server, host, port, backlog=512)
+        self.listener = await self.core.loop.create_server(self.admit, host, port, backlog=512)
         self.address = Address(*self.listener.sockets[0].getsockname()[:2])  # where the port was 0
 
+    def admit(self) -> asyncio.Protocol:
+        if len(self.server.connections) >= self.most_connections + OVERFLOW:
+            return TurnedAway()
+        return self.server()
+
     async def handle(self, request: web.BaseRequest) -> web.Response:
         response = await self.answer(request)
         if self.leaving or len(self.server.connections) > self.most_connections:
