Make attempts inside the request's own task, as the life of a request reads

Lines: core.py, serve and attempt; a client that leaves takes its attempt along, the policy hears both at once.

--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Any, Generic, TypeVar
+from typing import Generic, TypeVar
 
 import structlog
 
@@ -43,15 +43,14 @@
 
 
 class Call:
-    """A request being served: what is said to it, and the attempt that is out."""
+    """A request being served: what the policy says of it, and the timer of the attempt that is out."""
 
-    __slots__ = ("attempts", "over", "trying", "words")
+    __slots__ = ("attempts", "out", "words")
 
     def __init__(self) -> None:
-        self.words: asyncio.Queue[api.Send | api.Refuse | api.Fail | Served[object]] = asyncio.Queue()
-        self.trying: asyncio.Task[Any] | None = None
+        self.words: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
+        self.out: asyncio.Timeout | None = None
         self.attempts = 0
-        self.over = False
 
 
 class Core:
@@ -94,8 +93,8 @@
                         call.words.put_nowait(action)
                 case api.Cancel(request, attempt):
                     call = self.calls.get(request)
-                    if call and call.trying and attempt == call.attempts - 1:
-                        call.trying.cancel()
+                    if call and call.out and attempt == call.attempts - 1:
+                        call.out.reschedule(self.loop.time())
                 case api.Wake(after, token):
                     if self.bell:
                         self.bell.cancel()
@@ -110,16 +109,15 @@
         try:
             async with asyncio.timeout_at(ask.deadline - ANSWER_MARGIN - self.offset):
                 while True:
-                    word = await call.words.get()
-                    match word:
+                    match await call.words.get():
                         case api.Send(_, node):
-                            self.start(ask, call, node, attempt)
+                            outcome, value = await self.attempt(ask, call, node, attempt)
+                            if outcome is api.Outcome.SERVED:
+                                return Served(value)
                         case api.Refuse(_, wait):
                             return Refused(wait)
                         case api.Fail():
                             return Failed()
-                        case Served(value):
-                            return Served(value)  # type: ignore[arg-type]  # by this call's own attempt
         except asyncio.CancelledError:
             self.tell(api.Withdrawn(ask.request))
             raise
@@ -129,47 +127,36 @@
             self.tell(api.Withdrawn(ask.request))
             return Failed()
         finally:
-            call.over = True
+            del self.calls[ask.request]
             while not call.words.empty():
                 # Guards the policy's count of slots: a word to send that came too late is an attempt to it.
                 if isinstance(word := call.words.get_nowait(), api.Send):
-                    self.end(ask, call, call.attempts, word.node, api.Outcome.NOT_SENT, 0.0)
-            if call.trying is None:
-                del self.calls[ask.request]
+                    self.end(ask, call.attempts, word.node, api.Outcome.NOT_SENT, 0.0, settled=True)
 
-    def start(self, ask: api.Arrival, call: Call, node: int, attempt: Attempt[T]) -> None:
-        """Begin an attempt in a task of its own, so that it may outlive a client that leaves."""
-        number, sent = call.attempts, self.now()
-        call.attempts += 1
-
-        def done(task: asyncio.Task[tuple[api.Outcome, T | None]]) -> None:
-            # A callback, since a task that is cancelled before its first turn runs no line of its own. By now
-            # its connection is free or closed, so that there are never two attempts out.
-            outcome, value = (api.Outcome.CANCELLED, None) if task.cancelled() else task.result()
-            call.trying = None
-            if outcome is api.Outcome.SERVED:
-                call.words.put_nowait(Served(value))
-            self.end(ask, call, number, node, outcome, self.now() - sent)
-            if call.over:
-                del self.calls[ask.request]
-
-        call.trying = asyncio.create_task(self.limited(ask.deadline, node, attempt))
-        call.trying.add_done_callback(done)
-
-    async def limited(
-        self, deadline: float, node: int, attempt: Attempt[T]
+    async def attempt(
+        self, ask: api.Arrival, call: Call, node: int, attempt: Attempt[T]
     ) -> tuple[api.Outcome, T | None]:
+        """One attempt, until its timer ends it or the policy calls it off by the same timer. Its end is told
+        once its connection is free or closed, so that there are never two out."""
+        number, sent, until = call.attempts, self.now(), ask.deadline - ATTEMPT_MARGIN
+        call.attempts += 1
+        outcome, value, settled = api.Outcome.CANCELLED, None, True  # a client that leaves takes it along
         try:
-            async with asyncio.timeout_at(deadline - ATTEMPT_MARGIN - self.offset):
-                return await attempt(node)
+            async with asyncio.timeout_at(until - self.offset) as call.out:
+                outcome, value = await attempt(node)
+            settled = outcome is api.Outcome.SERVED
         except TimeoutError:
-            return api.Outcome.TIMEOUT, None
+            settled = False
+            outcome = api.Outcome.TIMEOUT if self.now() >= until else api.Outcome.CANCELLED
         except Exception:
             log.exception("attempt_fault", node=node)
-            return api.Outcome.RESET, None  # in doubt, it may have run
+            outcome, settled = api.Outcome.RESET, False  # in doubt, it may have run
+        finally:
+            call.out = None
+            self.end(ask, number, node, outcome, self.now() - sent, settled)
+        return outcome, value
 
     def end(
-        self, ask: api.Arrival, call: Call, number: int, node: int, outcome: api.Outcome, spent: float
+        self, ask: api.Arrival, number: int, node: int, outcome: api.Outcome, spent: float, settled: bool
     ) -> None:
-        settled = call.over or outcome is api.Outcome.SERVED
         self.tell(api.Ended(ask.request, number, node, outcome, spent, settled))
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -125,7 +125,7 @@
         if pool is None:
             return Outcome.NOT_SENT, None
         trial = Trial(pool)
-        trial_now.set(trial)  # an attempt has a task, and so a context, of its own
+        trial_now.set(trial)  # a request's task makes one attempt at a time
         pool.out += 1
         whole = False
         try:
