Bound the file front's memory and list the folders above the volumes

Seen: by the stated bounds 64 sessions could hold over 500 MB in waiting packets and names; the limit is 192 MB. Checked: now 32 sessions, 8 packets of 66 KiB each, 40,000 names together: about 110 MB at the most, by sum. Also: STAT and OPENDIR of a folder above the volumes are answered here, as clients start at /. Conclusion: the platform's path is unchanged but for the absolute form of a target, which is answered 404.

--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -83,7 +83,7 @@
         path = request.path
         if path == "/up":
             return web.Response(status=200 if self.ready() else 503)
-        if path != "/api":
+        if path != "/api" or not request.raw_path.startswith("/"):  # no absolute form: it is no proxy
             return web.Response(status=404)
         if request.method not in ("GET", "PUT"):
             return web.Response(status=405)
--- a/cleatyoke/sftp/front.py
+++ b/cleatyoke/sftp/front.py
@@ -48,9 +48,11 @@
     read_size,
 )
 
-MOST_SESSIONS = 64
-MOST_WAITING = 32  # commands of a session that wait for their turn; then it is not read further
+MOST_SESSIONS = 32
+MOST_WAITING = 8  # commands of a session that wait for their turn; then it is not read further
+MOST_LISTED = 40_000  # names held for all sessions together
 NAMES_A_REPLY = 64
+DIRECTORY = 0o040755
 STALL = 30.0  # seconds for a client to take an answer
 log = structlog.get_logger()
 H = TypeVar("H")
@@ -135,6 +137,18 @@
                 return volume
         raise Denied(Code.SSH_FX_NO_SUCH_FILE, f"{path}: below no volume")
 
+    def above(self, path: str) -> list[Name]:
+        """The entries of a folder that holds volumes and belongs to none: it is listed without a box."""
+        start = path.rstrip("/") + "/"
+        found = {one.prefix[len(start) :].partition("/")[0] for one in self.config.volumes
+                 if one.prefix.startswith(start)}  # fmt: skip
+        inside = any(start.startswith(one.prefix + "/") for one in self.config.volumes)
+        return [] if inside else [Name(one, one, Attrs(permissions=DIRECTORY)) for one in sorted(found)]
+
+    def listed(self) -> int:
+        held = [one for session in self.sessions for one in session.handles.values()]
+        return sum(len(one.names) for one in held if isinstance(one, Listed))
+
     async def schedule(self, path: str, item: str, size: int, command: Command) -> Packet:
         """One request through the core: as a read or a write of its volume, by its size in units."""
         volume, settings = self.volume(path), self.core.policy.settings
@@ -155,9 +169,10 @@
             case Served(reply) if reply is not None:
                 return reply
             case Refused(wait):
-                raise Denied(Code.SSH_FX_FAILURE, f"refused, nothing was done: try again after {wait:.3f} s")
+                again = f"try again after {max(0.0, wait):.3f} s"
+                raise Denied(Code.SSH_FX_FAILURE, f"refused, nothing was done: {again}")
             case _:
-                doubt = "the change may have been made" if changes(command) else "no answer in time"
+                doubt = "the change may have been made" if changes(command) else "no answer"
                 raise Denied(Code.SSH_FX_FAILURE, f"failed: {doubt}")
 
 
@@ -270,6 +285,10 @@
             case Opendir(_, path):
                 path = absolute(path)
                 self.room()
+                if above := front.above(path):
+                    return self.hold(Listed(path, above))
+                if front.listed() > MOST_LISTED:
+                    raise Denied(Code.SSH_FX_FAILURE, "too many listings are open")
                 found = await front.schedule(path, path, 0, List(path))
                 return self.hold(Listed(path, found.names)) if isinstance(found, Names) else found
             case Readdir(_, handle):
@@ -285,6 +304,8 @@
                 return await front.schedule(held.path, held.path, 0, Simple(Stat(0, held.path), False))
             case Stat(_, path) | Lstat(_, path):
                 path = absolute(path)
+                if front.above(path):
+                    return AttrsReply(0, Attrs(permissions=DIRECTORY))
                 return await front.schedule(path, path, 0, Simple(replace(packet, path=path), False))
             case Remove(_, path) | Rmdir(_, path) | Mkdir(_, path) | Setstat(_, path):
                 path = absolute(path)
--- a/cleatyoke/sftp/packets.py
+++ b/cleatyoke/sftp/packets.py
@@ -9,7 +9,7 @@
 from typing import Any, ClassVar
 
 VERSION = 3
-MOST_PACKET = 256 * 1024  # bytes after the length; the draft asks for 34,000 at least
+MOST_PACKET = 66 * 1024  # bytes after the length; the draft asks for 34,000 at least
 
 
 Layout = tuple[str, ...]
--- a/tests/test_sftp_front.py
+++ b/tests/test_sftp_front.py
@@ -104,6 +104,8 @@
         self.assertEqual(await client.list("/plats"), ["/plats/t1"])
         renamed = await client.ask(p.Rename(0, "/plats/t1", "/plats/t2"))
         self.assertEqual(renamed.code, p.Code.SSH_FX_OK)
+        self.assertEqual(await client.list("/"), ["plats"])
+        self.assertEqual((await client.ask(p.Stat(0, "/"))).attrs.permissions, 0o040755)
         self.failed(await client.ask(p.Rename(0, "/plats/t1", "/else")), p.Code.SSH_FX_NO_SUCH_FILE, "volume")
         missing = await client.ask(p.Open(0, "/plats/none", p.Flags.READ, NONE))
         self.failed(missing, p.Code.SSH_FX_NO_SUCH_FILE, "no such file")
