Deal out the descriptors and bound what clients that behave badly can hold

Cause, net/server.py: SOCKETS_KEPT = 400 left max(8, 256 - 400) = 8 clients, the ninth got 503 or was ended; IDLE = 75 kept silent connections; request.read() waited 5 s for bodies; an id that was open went on to a box a second time; aiohttp logged a trace for every unreadable message. Checked: aiohttp's parser refuses both framings at once, two lengths and signed ones (now a story); pipelined messages and what a short length hides were passed on, and now get 400 or a close before any attempt.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -53,8 +53,9 @@
     async def start(cls, config: Config, core: Core, directory: Directory) -> FileService:
         if config.sftp is None:
             return cls()
-        boxes = FileBoxes(directory, config.sftp.box_port, config.dial_timeout, config.idle_close)
-        front = FileFront(config.sftp, core, boxes)
+        sessions = config.shares.sessions
+        boxes = FileBoxes(directory, config.sftp.box_port, config.dial_timeout, config.idle_close, sessions)
+        front = FileFront(config.sftp, core, boxes, sessions)
         if config.vrrp is None:
             await front.open()
             return cls(front)
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -15,6 +15,8 @@
 REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
 MOST_SOCKETS = 1024
+SPARE_SOCKETS = 72  # listeners, log, discovery, and a turn's connections accepted before they are counted
+MOST_SESSIONS = 32
 FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
 
 
@@ -64,13 +66,29 @@
     addresses: list[str]
 
 
+@dataclass(slots=True, frozen=True)
+class Shares:
+    """How the descriptors of the process are dealt out. A request in work holds a client's connection and at
+    most one to a box, so as many are kept for boxes as for clients, and no attempt wants for one."""
+
+    clients: int
+    boxes: int
+    sessions: int  # of the file front: a client's connection, one at work and an idle one to a box
+
+    @classmethod
+    def of(cls, sockets: int, files: bool) -> Shares:
+        sessions = min(MOST_SESSIONS, (sockets - SPARE_SOCKETS) // 12) if files else 0
+        half = (sockets - SPARE_SOCKETS - 3 * sessions) // 2
+        return cls(half, half, sessions)
+
+
 @dataclass(slots=True)
 class Config:
     name: str
     listen: Address
     discovery: Address
     seed: int
-    sockets: int
+    shares: Shares
     known: Any  # the old list in discovery's form, decoded by the platform front
     settings: api.Settings
     classes: dict[str, int]
@@ -243,6 +261,7 @@
     limits = facts.table("PolicyLimits")
     classes, plans = names(facts.tables("Lanes")), names(facts.tables("Contracts"))
     sftp, vrrp = read_fronts(fronts, classes, plans)
+    sockets = root.table("limits", {}).whole("sockets", 2 * SPARE_SOCKETS, 1 << 20, MOST_SOCKETS)
 
     def address(variable: str, key: str) -> Address:
         if text := environment.get(variable):
@@ -254,7 +273,7 @@
         listen=address("RELAY_LISTEN", "listen"),
         discovery=address("RELAY_DISCOVERY", "discovery"),
         seed=seed,
-        sockets=root.table("limits", {}).whole("sockets", 16, 1 << 20, MOST_SOCKETS),
+        shares=Shares.of(sockets, sftp is not None),
         known=root.get("known", {}),
         settings=read_settings(facts.values, seed),
         classes=classes,
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
 
-from multidict import CIMultiDict
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from cleatyoke import api
 from cleatyoke.config import BadConfig, Config, read_address
@@ -16,6 +17,9 @@
 
 MOST_BODY = 64 * 1024
 LONGEST_WAIT_MS = 600_000
+MOST_ID = 128
+VISIBLE = re.compile(r"[!-~]+")
+FIELDS = ("X-Trace-Id", "X-Qos", "X-Plan", "X-Expires-In-Ms", "X-IO", "Content-Length")
 STATES = {
     "SERVING": api.NodeState.LIVE,
     "DRAINING": api.NodeState.DRAINING,
@@ -59,19 +63,36 @@
     return value
 
 
+def hex16(text: str | None, name: str) -> int:
+    if len(text or "") != 16:
+        raise BadMessage(f"{name}: want 16 hex digits, found {text!r}")
+    return whole(text, name, 0, (1 << 64) - 1, 16)
+
+
 def decode_ask(
-    config: Config, method: str, target: str, headers: Mapping[str, str], body: bytes
+    config: Config, method: str, target: str, headers: CIMultiDictProxy[str], body: bytes
 ) -> Ask:
+    """Strictly: of what could be read in two ways, a box may read another one."""
+    for name in FIELDS:
+        if len(headers.getall(name, ())) > 1:
+            raise BadMessage(f"{name}: given twice")
     trace = headers.get("X-Trace-Id", "")
-    if not trace:
-        raise BadMessage("X-Trace-Id: missing")
+    if not VISIBLE.fullmatch(trace) or len(trace) > MOST_ID:
+        raise BadMessage(f"X-Trace-Id: want an id, found {trace!r}")
+    if not VISIBLE.fullmatch(target):
+        raise BadMessage("target: want visible ASCII characters")
     kind, plan = headers.get("X-Qos", ""), headers.get("X-Plan", "")
     if kind not in config.classes:
         raise BadMessage(f"X-Qos: unknown class {kind!r}")
     if plan not in config.plans:
         raise BadMessage(f"X-Plan: unknown plan {plan!r}")
-    block = parse_qs(target.partition("?")[2]).get("block", [""])[0]
-    fields = dict(part.strip().partition("=")[::2] for part in headers.get("X-IO", "").split(","))
+    blocks = parse_qs(target.partition("?")[2]).get("block", [])
+    pairs = [part.strip().partition("=")[::2] for part in headers.get("X-IO", "").split(",")]
+    fields = dict(pairs)
+    if len(blocks) != 1:
+        raise BadMessage("block: want one")
+    if len(fields) != len(pairs):
+        raise BadMessage("X-IO: a field is given twice")
     if method == "GET" and body:
         raise BadMessage("Content-Length: a read has no body")
     return Ask(
@@ -80,8 +101,8 @@
         target=target,
         class_index=config.classes[kind],
         plan=config.plans[plan],
-        volume=whole(fields.get("volume"), "X-IO volume", 0, (1 << 64) - 1, 16),
-        item=whole(block, "block", 0, (1 << 64) - 1, 16),
+        volume=hex16(fields.get("volume"), "X-IO volume"),
+        item=hex16(blocks[0], "block"),
         cell=whole(fields.get("shard"), "X-IO shard", -1, 1 << 31),
         units=float(whole(fields.get("units"), "X-IO units", 1, 1 << 20)),
         hosts=whole(fields.get("hosts"), "X-IO hosts", 1, 1 << 20),
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 import structlog
 from aiohttp import StreamReader, web
@@ -18,10 +21,14 @@
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
 
-IDLE = 75.0  # seconds that a client's connection may stand without a whole request
-BODY = 5.0  # seconds for a body to come
-SOCKETS_KEPT = 400  # descriptors kept for boxes, discovery, file commands and the process itself
-OVERFLOW = 56  # connections beyond the bound that still get an answer, a 503
+IDLE = 2.1  # seconds that a client's connection may stand without a request
+HEAD = 0.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
+BODY = 1.5  # seconds for a body to come
+MOST_HEAD = 4096  # bytes of a line or a field of a head
+MOST_FIELDS = 64
+BACKLOG = 512  # connections that the kernel holds until they are accepted
+ACCEPTED = 32  # accepted in one turn of the loop, before any is counted
+REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken
 log = structlog.get_logger()
 
 
@@ -32,21 +39,85 @@
         transport.close()
 
 
+class Client(RequestHandler):
+    """A client's connection: aiohttp's, and the guards that it lacks against clients that behave badly."""
+
+    def __init__(self, front: Front, **settings: Any) -> None:
+        super().__init__(front.server, loop=front.core.loop, **settings)
+        self.front = front
+        self.began = 0.0  # when the first byte of a message came whose head is not whole yet; 0: none has
+        self.busy = self.whole = False  # a message is in hand; and nothing of it is still to come
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.front.idle[self] = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self.front.forget(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if self.whole:
+            # Guards the box and the next request: what comes behind a request before its answer is no
+            # message of this protocol, and may be hidden in a length that is wrong. It ends here.
+            self.force_close()
+            return
+        super().data_received(data)
+        if self._messages:
+            self.front.spoke(self)
+        elif not self.busy:
+            self.began = self.began or self._loop.time()
+
+    def crowded(self) -> bool:
+        """More than the message in hand has come."""
+        return bool(self._messages)
+
+    def take(self) -> None:
+        self.busy, self.began = True, 0.0
+
+    def give_back(self) -> None:
+        self.busy = self.whole = False
+        self.front.idle[self] = None
+
+    def evict(self) -> None:
+        """End an idle connection cleanly."""
+        self.front.forget(self)
+        self.force_close()
+
+    def _process_keepalive(self) -> None:
+        """Close an idle connection, but let a head that has begun to come be read to its end."""
+        if self.began and (rest := self.began + HEAD - self._loop.time()) > 0:
+            self._keepalive_handle = self._loop.call_later(rest, super()._process_keepalive)
+        else:
+            super()._process_keepalive()
+
+    def handle_error(
+        self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:  # fmt: skip
+        """A message that cannot be read: aiohttp would log a trace for each, and clients may send floods."""
+        if status == 500:
+            log.error("answer_fault", exc_info=exc)
+        response = web.Response(status=status, text="unreadable message\n")
+        response.force_close()
+        return response
+
+
 class Front:
     """One listener. ``handle`` is the whole life of a message."""
 
     def __init__(self, config: Config, core: Core, boxes: Boxes, ready: Callable[[], bool]) -> None:
         self.config, self.core, self.boxes, self.ready = config, core, boxes, ready
-        self.most_connections = max(8, config.sockets - SOCKETS_KEPT)
+        self.most_clients = config.shares.clients
         self.leaving = False
         self.server = web.Server(
-            self.handle,
-            request_factory=self.make_request,
-            handler_cancellation=True,  # a client that closes is withdrawn
-            keepalive_timeout=IDLE,
-            access_log=None,
-            auto_decompress=False,
-        )
+            self.handle, request_factory=self.make_request, handler_cancellation=True
+        )  # a client that closes is withdrawn
+        self.clients: set[Client] = set()
+        self.silent: dict[Client, None] = {}  # without a message so far, the oldest first
+        self.idle: dict[Client, None] = {}  # without a message in hand, the longest idle first
+        self.taken: set[str] = set()  # ids of open requests, and of those just over
+        self.over: deque[tuple[float, str]] = deque()  # when to forget which of them
         self.listener: asyncio.Server | None = None
         self.address = config.listen
 
@@ -63,22 +134,51 @@
         )
 
     async def listen(self) -> None:
-        host, port = self.address.host, self.address.port
-        self.listener = await self.core.loop.create_server(self.admit, host, port, backlog=512)
-        self.address = Address(*self.listener.sockets[0].getsockname()[:2])  # where the port was 0
+        """asyncio accepts as many connections in a turn as the backlog holds, before any is counted: a flood
+        would take every descriptor. So it is told a small one, and the kernel the one that is wanted."""
+        family = socket.AF_INET6 if ":" in self.address.host else socket.AF_INET
+        listening = socket.create_server((self.address.host, self.address.port), family=family)
+        self.listener = await self.core.loop.create_server(self.admit, sock=listening, backlog=ACCEPTED)
+        listening.listen(BACKLOG)
+        self.address = Address(*listening.getsockname()[:2])  # where the port was 0
 
     def admit(self) -> asyncio.Protocol:
-        if len(self.server.connections) >= self.most_connections + OVERFLOW:
-            return TurnedAway()
-        return self.server()
+        """Take a connection; at the bound one that never spoke makes room, or else the longest idle."""
+        if len(self.clients) >= self.most_clients:
+            room = next(iter(self.silent), None) or next((one for one in self.idle if not one.began), None)
+            if room is None:
+                return TurnedAway()
+            room.evict()
+        client = Client(
+            self, keepalive_timeout=IDLE, access_log=None, auto_decompress=False, lingering_time=0.0,
+            max_line_size=MOST_HEAD, max_field_size=MOST_HEAD, max_headers=MOST_FIELDS,
+        )  # fmt: skip
+        self.clients.add(client)
+        self.silent[client] = None
+        return client
+
+    def spoke(self, client: Client) -> None:
+        """A message has come whole enough to be taken: the connection can't be evicted before its answer."""
+        self.silent.pop(client, None)
+        self.idle.pop(client, None)
+
+    def forget(self, client: Client) -> None:
+        self.clients.discard(client)
+        self.spoke(client)
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
-        response = await self.answer(request)
-        if self.leaving or len(self.server.connections) > self.most_connections:
+        client = request.protocol
+        assert isinstance(client, Client)
+        client.take()
+        try:
+            response = await self.answer(request, client)
+        finally:
+            client.give_back()
+        if self.leaving or not request.content.is_eof() or client.crowded():
             response.force_close()  # Connection: close
         return response
 
-    async def answer(self, request: web.BaseRequest) -> web.Response:
+    async def answer(self, request: web.BaseRequest, client: Client) -> web.Response:
         came = self.core.now()
         path = request.path
         if path == "/up":
@@ -87,6 +187,8 @@
             return web.Response(status=404)
         if request.method not in ("GET", "PUT"):
             return web.Response(status=405)
+        if (request.content_length or 0) > MOST_BODY:
+            return web.Response(status=413)  # at once: none of it is read
         try:
             async with asyncio.timeout(BODY):
                 body = await request.read() if request.body_exists else b""
@@ -97,10 +199,18 @@
             return web.Response(status=413)
         except BadMessage as error:
             return web.Response(status=400, text=f"{error}\n")
-        if len(self.server.connections) > self.most_connections:
-            log.warning("too_many_connections", most=self.most_connections)
-            return web.Response(status=503)
-        return await self.schedule(ask, came + ask.wait)
+        if client.crowded():
+            return web.Response(status=400, text="one request at a time\n")
+        client.whole = True
+        while self.over and self.over[0][0] <= came:
+            self.taken.discard(self.over.popleft()[1])
+        if ask.trace in self.taken:  # passed on, it would run a request twice that is open, or just was
+            return web.Response(status=400, text="X-Trace-Id: taken\n")
+        self.taken.add(ask.trace)
+        try:
+            return await self.schedule(ask, came + ask.wait)
+        finally:
+            self.over.append((self.core.now() + REMEMBERED, ask.trace))
 
     async def schedule(self, ask: Ask, deadline: float) -> web.Response:
         """One request through the core: an attempt is one exchange with a box."""
@@ -134,11 +244,10 @@
 
     async def close(self) -> None:
         """No new connections, no idle ones; then all that was taken is answered."""
-        self.server.pre_shutdown()
         if self.listener:
             self.listener.close()
-        while any(not transport.is_closing() for transport in self.transports()):
+        self.server.pre_shutdown()
+        for client in list(self.idle):
+            client.evict()
+        while self.clients:
             await asyncio.sleep(0.02)
-
-    def transports(self) -> list[asyncio.Transport]:
-        return [one.transport for one in self.server.connections if one.transport is not None]
--- a/cleatyoke/sftp/boxes.py
+++ b/cleatyoke/sftp/boxes.py
@@ -115,9 +115,9 @@
     """Connections to the boxes of the directory."""
 
     def __init__(
-        self, directory: Directory, port: int, dial_timeout: float, idle_close: float
+        self, directory: Directory, port: int, dial_timeout: float, idle_close: float, most_idle: int
     ) -> None:
-        self.directory, self.port = directory, port
+        self.directory, self.port, self.most_idle = directory, port, most_idle
         self.dial_timeout, self.keep = dial_timeout, idle_close * IDLE_SHARE
         self.idle: defaultdict[int, list[Line]] = defaultdict(list)
         directory.watchers.append(self.drop)
@@ -189,6 +189,8 @@
     def put_back(self, node: int, line: Line) -> bool:
         if not line.usable() or not self.directory.serves(node) or len(self.idle[node]) >= MOST_IDLE:
             return False
+        if sum(map(len, self.idle.values())) >= self.most_idle:  # the descriptors are dealt out for no more
+            return False
         line.idle_since = asyncio.get_running_loop().time()
         self.idle[node].append(line)
         return True
--- a/cleatyoke/sftp/front.py
+++ b/cleatyoke/sftp/front.py
@@ -48,7 +48,6 @@
     read_size,
 )
 
-MOST_SESSIONS = 32
 MOST_WAITING = 8  # commands of a session that wait for their turn; then it is not read further
 MOST_LISTED = 40_000  # names held for all sessions together
 NAMES_A_REPLY = 64
@@ -92,8 +91,8 @@
 class FileFront:
     """The listener. ``open`` and ``close`` it as often as mastership comes and goes."""
 
-    def __init__(self, config: SftpFront, core: Core, boxes: FileBoxes) -> None:
-        self.config, self.core, self.boxes = config, core, boxes
+    def __init__(self, config: SftpFront, core: Core, boxes: FileBoxes, most_sessions: int) -> None:
+        self.config, self.core, self.boxes, self.most_sessions = config, core, boxes, most_sessions
         self.sessions: set[Session] = set()
         self.listener: asyncio.Server | None = None
 
@@ -104,8 +103,8 @@
             log.info("sftp_open", listen=listen)
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self.sessions) >= MOST_SESSIONS:
-            log.warning("sftp_too_many_sessions", most=MOST_SESSIONS)
+        if len(self.sessions) >= self.most_sessions:
+            log.warning("sftp_too_many_sessions", most=self.most_sessions)
             writer.transport.abort()
             return
         session = Session(self, reader, writer)
