Take a new discovery address on SIGHUP without dropping the list or calls

Checked: the old watch goes on until the new agent has told its whole list; a fault in the file changes nothing and is one line that names the key; RELAY_DISCOVERY does not mask the file's new address; SIGTERM right after SIGHUP leaves in order.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -92,7 +92,20 @@
     front = Front(
         config, core, boxes, lambda: discovery.heard.is_set() or loop.time() - began > FIRST_WORD
     )
-    watching = asyncio.create_task(discovery.run())
+    discovery.start()
+
+    def reload() -> None:
+        """SIGHUP: the file is read again, and kept out as a whole where it has a fault."""
+        try:
+            moved, waiting = config.reload(read_config(os.environ))
+        except BadConfig as error:
+            log.error("reload_failed", why=str(error))
+            return
+        log.info("reloaded", discovery=config.discovery, moved=moved, next_start=waiting)
+        if moved:
+            discovery.move(config.discovery)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     try:
         await front.listen()
         files = await FileService.start(config, core, directory)
@@ -110,12 +123,13 @@
             await asyncio.gather(front.close(), files.close(LAST))
     except TimeoutError:
         log.warning("left_unanswered", open=len(core.calls))
-    watching.cancel()
+    discovery.stop()
     await boxes.close()
     log.info("left")
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
     set_up_log()
     try:
         asyncio.run(run(read_config(os.environ)))
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -96,9 +96,24 @@
     zones: dict[str, int]
     dial_timeout: float
     idle_close: float
+    file_discovery: Address  # as the file has it, whatever RELAY_DISCOVERY says
     sftp: SftpFront | None = None
     vrrp: VrrpPeers | None = None
 
+    def reload(self, new: Config) -> tuple[bool, list[str]]:
+        """Take what a reload takes: the address of discovery, where the file names a new one. It wins
+        over RELAY_DISCOVERY, as a running process cannot be given another. Returns whether it moved, and the
+        changed keys that wait for the next start; ``known`` and ``seed`` count at a start only."""
+        new.settings.seed = self.settings.seed
+        kept = ("name", "listen", "shares", "settings", "classes", "plans", "dial_timeout", "idle_close",
+                "sftp", "vrrp")  # fmt: skip
+        waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
+        moved = new.file_discovery != self.file_discovery
+        self.file_discovery = new.file_discovery
+        if moved:
+            self.discovery = new.file_discovery
+        return moved, waiting
+
 
 @dataclass(slots=True)
 class Table:
@@ -272,6 +287,7 @@
         name=environment.get("RELAY_NAME") or root.text("name"),
         listen=address("RELAY_LISTEN", "listen"),
         discovery=address("RELAY_DISCOVERY", "discovery"),
+        file_discovery=root.address("discovery") if "discovery" in values else Address("", 0),
         seed=seed,
         shares=Shares.of(sockets, sftp is not None),
         known=root.get("known", {}),
--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -15,54 +15,89 @@
 
 SILENCE = 5.0  # seconds without a line, where an empty one comes every two: the watch is dead
 PAUSE = 0.25  # before the next try
+FETCH = 1.0  # seconds for the whole list, of which the agent has what it has at once
 MOST_LINE = 1 << 20
 log = structlog.get_logger()
 
 
 class Discovery:
-    """Keeps the directory, and through it the policy, told."""
+    """Keeps the directory, and through it the policy, told: by one watch, or amid a move by two."""
 
     def __init__(
         self, address: Address, directory: Directory, tell: Callable[[api.Event], None]
     ) -> None:
-        self.base = f"http://{address.host}:{address.port}/discovery/hosts"
-        self.directory, self.tell = directory, tell
+        self.address, self.directory, self.tell = address, directory, tell
         self.heard = asyncio.Event()  # something, in this life
+        self.watches: list[Watch] = []  # the last one is on the address that counts
 
     def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
         """A list goes to the directory and, in the same turn, to the policy."""
         whole = api.ListKind.FULL if listing.whole else api.ListKind.CHANGES
         self.tell(api.NodeList(kind or whole, self.directory.apply(listing)))
 
+    def start(self) -> None:
+        """Watch; an old copy of the list counts, as its versions are this agent's."""
+        self.watches.append(Watch(self, self.address, self.directory.version))
+
+    def move(self, address: Address) -> None:
+        """Watch another agent. The whole list comes first, as the old one's versions are nothing to it. Until
+        it has come the old watch goes on: nothing is missed, and no wait on the old one delays the new."""
+        self.address = address
+        self.watches.append(Watch(self, address, None))
+
+    def settled(self, watch: Watch) -> None:
+        """This one has told its whole list: from here on, what an older one says could only undo that."""
+        while self.watches and self.watches[0] is not watch:
+            self.watches.pop(0).task.cancel()
+
+    def stop(self) -> None:
+        for watch in self.watches:
+            watch.task.cancel()
+
+
+class Watch:
+    """The watch on one agent, kept up for ever. ``version`` is that agent's; None asks for the whole list."""
+
+    def __init__(self, owner: Discovery, address: Address, version: int | None) -> None:
+        host = f"[{address.host}]" if ":" in address.host else address.host
+        self.url, self.version = f"http://{host}:{address.port}/discovery/hosts", version
+        self.owner, self.task = owner, asyncio.create_task(self.run())
+
     async def run(self) -> None:
-        """Watch for ever; where a change may have been missed, the whole list comes first."""
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=2.0, sock_read=SILENCE)
+        """Where a change may have been missed, the whole list comes first."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=FETCH, sock_read=SILENCE)
         async with aiohttp.ClientSession(
             timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MOST_LINE
         ) as session:
             while True:
                 try:
-                    if self.directory.version is None:
+                    if self.version is None:
                         await self.fetch(session)
                     await self.watch(session)
-                    log.info("discovery_ended")
+                    log.info("discovery_ended", address=self.url)
                 except BadMessage as error:
                     log.warning("discovery_line_skipped", why=str(error))
-                    self.directory.version = None  # the line may have held a change: take the whole list
+                    self.version = None  # the line may have held a change: take the whole list
                 except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-                    log.warning("discovery_lost", why=f"{type(error).__name__}: {error}")
+                    why = f"{type(error).__name__}: {error}"
+                    log.warning("discovery_lost", address=self.url, why=why)
                 await asyncio.sleep(PAUSE)
 
     async def fetch(self, session: aiohttp.ClientSession) -> None:
-        async with asyncio.timeout(SILENCE), session.get(self.base, raise_for_status=True) as response:
+        async with asyncio.timeout(FETCH), session.get(self.url, raise_for_status=True) as response:
             listing = decode_listing(await response.read())
-            self.take(listing, api.ListKind.FULL)
-            self.heard.set()
+        self.take(listing, api.ListKind.FULL)
+        self.owner.settled(self)
 
     async def watch(self, session: aiohttp.ClientSession) -> None:
-        params = {"watch": "1", "after": str(self.directory.version)}
-        async with session.get(self.base, params=params, raise_for_status=True) as response:
+        params = {"watch": "1", "after": str(self.version)}
+        async with session.get(self.url, params=params, raise_for_status=True) as response:
             while line := await response.content.readline():
-                self.heard.set()
+                self.owner.heard.set()
                 if text := line.strip():
                     self.take(decode_listing(text))
+
+    def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
+        self.owner.take(listing, kind)
+        self.version = listing.version
+        self.owner.heard.set()
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -325,10 +325,10 @@
         agent = await DiscoveryAgent(whole, [[b"", b"{tea"], [b"", json.dumps(change).encode()]]).start()
         directory, told = Directory({}), asyncio.Queue[api.Event]()
         discovery = Discovery(Address("127.0.0.1", agent.port), directory, told.put_nowait)
-        task = asyncio.create_task(discovery.run())
+        discovery.start()
         async with asyncio.timeout(5):
             news = [await told.get() for _ in range(3)]
-        task.cancel()
+        discovery.stop()
         agent.stop()
         kinds = [(one.kind, one.entries[0].state) for one in news if isinstance(one, api.NodeList)]
         full = (api.ListKind.FULL, NodeState.LIVE)
@@ -337,8 +337,42 @@
         self.assertFalse(directory.serves(1))
 
 
+    async def test_a_move_takes_the_new_agent_s_whole_list_and_keeps_the_old_watch_until_then(self) -> None:
+        old_list = {"generation": 70, "reset": True, "instances": [entry("SERVING")]}
+        new_list = {"generation": 7, "reset": True, "instances": [entry("SERVING", 10)]}
+        later = {"generation": 71, "reset": False, "instances": [entry("DRAINING")]}
+        old, new = await DiscoveryAgent(old_list, [[b""]]).start(), await DiscoveryAgent(new_list, []).start()
+        directory, told = Directory({}), asyncio.Queue[api.Event]()
+        discovery = Discovery(Address("127.0.0.1", old.port), directory, told.put_nowait)
+        silent = await asyncio.start_server(lambda reader, writer: asyncio.sleep(60), "127.0.0.1", 0)
+        discovery.start()
+        async with asyncio.timeout(5):
+            await told.get()
+            while len(old.asked) < 2:  # the list, then the watch
+                await asyncio.sleep(0.005)
+            discovery.move(Address("127.0.0.1", silent.sockets[0].getsockname()[1]))
+            for writer in old.writers:  # the new one is silent: the old one still counts
+                line = json.dumps(later).encode()
+                writer.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+            await told.get()
+            self.assertFalse(directory.serves(1))
+            discovery.move(Address("127.0.0.1", new.port))
+            await told.get()
+            while old.open or len(new.asked) < 2:
+                await asyncio.sleep(0.005)
+        self.assertEqual(directory.boxes[1].address.port, 10)
+        self.assertEqual(new.asked, ["/discovery/hosts", "/discovery/hosts?watch=1&after=7"])
+        self.assertEqual(len(discovery.watches), 1)
+        discovery.stop()
+        for peer in (old, new):
+            peer.stop()
+        silent.close()
+
+
 class DaemonStories(unittest.IsolatedAsyncioTestCase):
-    async def start(self, folder: str, **changes: Any) -> asyncio.subprocess.Process:
+    async def start(
+        self, folder: str, variables: dict[str, str] | None = None, **changes: Any
+    ) -> asyncio.subprocess.Process:
         path = Path(folder) / "config.json"
         values = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
                   "settings": FACTS, **changes}  # fmt: skip
@@ -346,7 +380,7 @@
         kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
         return await asyncio.create_subprocess_exec(
             sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**kept, "RELAY_CONFIG": str(path)},
+            env={**kept, **(variables or {}), "RELAY_CONFIG": str(path)},
         )  # fmt: skip
 
     async def test_sigterm_answers_what_was_taken_and_what_still_comes(self) -> None:
@@ -364,8 +398,7 @@
             address = f"127.0.0.1:{agent.port}"
             daemon = await self.start(folder, known=known, discovery=address)
             assert daemon.stderr
-            while b"event='ready'" not in (line := await daemon.stderr.readline()):
-                self.assertTrue(line, "the daemon ended")
+            line = await self.line(daemon, b"event='ready'")
             port = int(line.split(b"port=")[1].split(b")")[0])
             url = f"http://127.0.0.1:{port}{TARGET}"
             async with aiohttp.ClientSession() as client:
@@ -389,6 +422,49 @@
         box.stop()
         agent.stop()
 
+    async def line(self, daemon: asyncio.subprocess.Process, word: bytes) -> bytes:
+        assert daemon.stderr
+        async with asyncio.timeout(10):
+            while word not in (line := await daemon.stderr.readline()):
+                self.assertTrue(line, "the daemon ended")
+        return line
+
+    async def test_sighup_takes_the_new_discovery_from_the_file_and_keeps_the_old_on_a_fault(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer()
+
+        box: HttpBox = await HttpBox(script).start()
+        first = await DiscoveryAgent({"generation": 9, "reset": True, "instances": []}, []).start()
+        whole = {"generation": 1, "reset": True, "instances": [entry("SERVING", box.port)]}
+        second = await DiscoveryAgent(whole, []).start()
+        at = [f"127.0.0.1:{agent.port}" for agent in (first, second)]
+        with tempfile.TemporaryDirectory() as folder:
+            daemon = await self.start(folder, {"RELAY_DISCOVERY": at[0]}, discovery=at[0])
+            port = int((await self.line(daemon, b"event='ready'")).split(b"port=")[1].split(b")")[0])
+            path = Path(folder) / "config.json"
+            good = json.loads(path.read_text())
+            for change, word in (
+                ({"discovery": "nowhere"}, b"discovery: want HOST:PORT"),
+                ({"discovery": at[1], "listen": "127.0.0.1:9"}, b"moved=True next_start=['listen']"),
+                ({"discovery": at[1]}, b"moved=False next_start=[]"),
+            ):
+                path.write_text(json.dumps({**good, **change}))
+                daemon.send_signal(signal.SIGHUP)
+                self.assertIn(word, await self.line(daemon, b"event='reload"))
+            url = f"http://127.0.0.1:{port}{TARGET}"
+            async with aiohttp.ClientSession() as client, asyncio.timeout(10):
+                status, tries = 0, 0
+                while status != 200:  # the second agent alone lists the box
+                    tries += 1
+                    async with client.get(url, headers={**HEADERS, "X-Trace-Id": f"t{tries}"}) as response:
+                        status = response.status
+            daemon.send_signal(signal.SIGHUP)
+            daemon.send_signal(signal.SIGTERM)  # amid a reload
+            async with asyncio.timeout(5):
+                self.assertEqual(await daemon.wait(), 0)
+        for peer in (box, first, second):
+            peer.stop()
+
     async def test_bad_configuration_ends_with_one_line_that_names_the_key(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             daemon = await self.start(folder, listen="nowhere")
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -39,6 +39,7 @@
         name="n0",
         listen=Address("127.0.0.1", 0),
         discovery=Address("127.0.0.1", 1),
+        file_discovery=Address("127.0.0.1", 1),
         seed=1,
         shares=Shares.of(1024, False),
         known={},
