Read boxes' answers on connections of our own, so that no stray bytes become an answer

Seen: a good answer with noise behind it in one piece was a RESET, a copy behind one closed its connection; by reading aiohttp 3.14.5: connector.py _get takes a pooled connection without asking should_close, and client_proto.py _drain_tail feeds what came meanwhile to the next request's parser. That would serve a client another's answer. Checked with a scripted peer: copy and noise behind an answer, bytes while pooled (read by the loop or still in the kernel), 18 spoilt answers. aiohttp's parser by itself lets pass: HTTP/2.0, 101, 200 without a length, 'Content-Length :'. So aiohttp's client is given up here, its parser stays: each head is cut out and parsed by itself (5 us).

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -81,7 +81,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     core, directory = Core(config.settings), Directory(config.zones)
-    boxes = Boxes(directory, config.dial_timeout, config.idle_close)
+    boxes = Boxes(directory, config.dial_timeout, config.idle_close, config.shares.boxes)
     discovery = Discovery(config.discovery, directory, core.tell)
     if config.known:
         try:
@@ -124,7 +124,7 @@
     except TimeoutError:
         log.warning("left_unanswered", open=len(core.calls))
     discovery.stop()
-    await boxes.close()
+    boxes.close()
     log.info("left")
 
 
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -1,171 +1,203 @@
-"""Attempts over HTTP: a pool of connections for each box, and what each ending proves."""
+"""Attempts over HTTP: a pool of connections for each box, and what each ending proves.
+
+The connections are asyncio protocols of our own, read by aiohttp's parser. aiohttp's client could not keep
+the rule that a client gets the answer made for its request: bytes that come while a connection is pooled it
+keeps and reads as the next request's answer, and noise in one piece with a good answer costs that answer. It
+also resends by itself, and knows no bound for idle connections over all boxes.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
-from contextvars import ContextVar
-from dataclasses import dataclass
-
-import aiohttp
-from aiohttp.connector import Connection
-from yarl import URL
+import select
+from collections import deque
+from collections.abc import Callable
+from functools import partial
 
 from cleatyoke.api import Outcome
+from cleatyoke.config import Address
 from cleatyoke.directory import Directory
-from cleatyoke.net.messages import MOST_BODY, Ask, decode_outcome, encode_attempt
+from cleatyoke.net.messages import Answer, AnswerReader, Ask, SpoiltAnswer, decode_outcome, encode_attempt
 
-MOST_CONNECTIONS = 16  # to one box; the policy has at most eight attempts out at a node
 IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
-PLAIN = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")  # headers that aiohttp would add
-
-
-class NotServing(Exception):
-    """The box began to drain, or went, before the request was written: it is not."""
-
-
-class NeverWritten(Exception):
-    """The connection had ended before the first byte was written."""
-
-
-class Broken(aiohttp.ClientError):
-    """The connection ended after the request was written."""
-
-
-@dataclass(slots=True)
-class Trial:
-    """What the request class leaves for the attempt that it was sent for."""
-
-    pool: Pool
-    transport: asyncio.Transport | None = None
-
-
-trial_now: ContextVar[Trial] = ContextVar("trial_now")
-
-
-class GuardedRequest(aiohttp.ClientRequest):
-    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
-        """The last look before the first byte: discovery may have spoken while the connection came up."""
-        trial = trial_now.get()
-        if trial.pool.retired:
-            raise NotServing
-        if conn.transport is None or conn.transport.is_closing():
-            raise NeverWritten
-        assert isinstance(conn.transport, asyncio.Transport)
-        trial.transport = conn.transport
-        return await super().send(conn)
-
-
-async def never_resend(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """aiohttp sends a GET or PUT once more by itself where a pooled connection breaks, as if nothing had run.
-
-    Guards the rule against second runs: it knows a break by two errors, which are made another one here."""
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise  # it never came up; aiohttp does not resend after this one
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise Broken(str(error)) from error
+REST = 0.02  # seconds that a connection rests after an answer, so that what comes behind that is noticed
+GAP = 0.25  # seconds from the first byte of an answer to its last; boxes write an answer at once
+
+
+class Line(asyncio.Protocol):
+    """A connection to a box; it carries one exchange at a time."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.reader: AnswerReader | None = None  # of the answer that is awaited
+        self.answer: asyncio.Future[Answer] | None = None
+        self.gap: asyncio.TimerHandle | None = None
+        self.expiry: asyncio.TimerHandle | None = None
+        self.unwritten = False  # a part of the request is still here
+        self.rested_at = 0.0
+        self.left: Callable[[], None] | None = None  # while it is pooled: what to do when it ends
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(0)  # pause_writing then says that the last byte has not left
+
+    def pause_writing(self) -> None:
+        self.unwritten = True
+
+    def resume_writing(self) -> None:
+        self.unwritten = False
+
+    def data_received(self, data: bytes) -> None:
+        if self.reader is None or self.answer is None or self.answer.done():
+            self.abort()  # nothing is awaited: these bytes must never become the next request's answer
+            return
+        try:
+            answer = self.reader.feed(data)
+        except SpoiltAnswer as error:
+            self.fail(error)
+            return
+        if answer:
+            self.answer.set_result(answer)
+        elif self.gap is None:
+            self.gap = self.loop.call_later(GAP, self.fail, SpoiltAnswer("it does not end"))
+
+    def eof_received(self) -> None:
+        self.fail(SpoiltAnswer("the connection ended"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.fail(SpoiltAnswer("the connection broke"))
+
+    def fail(self, error: SpoiltAnswer) -> None:
+        if self.answer and not self.answer.done():
+            self.answer.set_exception(error)
+        self.abort()
+
+    def abort(self) -> None:
+        """At once: close() would first write what is still buffered."""
+        if self.left:
+            self.left()
+        if self.transport:
+            self.transport.abort()
+
+    def usable(self) -> bool:
+        """Open, and nothing has come that the loop has not read yet."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not look.poll(0)
+
+    async def exchange(self, request: bytes) -> Answer:
+        assert self.transport
+        self.reader, self.answer = AnswerReader(), self.loop.create_future()
+        self.transport.write(request)
+        try:
+            return await self.answer
+        finally:
+            self.reader = self.answer = None
+            if self.gap:
+                self.gap.cancel()
+                self.gap = None
 
 
 class Pool:
-    """The connections to one life of one box. Retired, it ends with the last attempt that is out."""
-
-    def __init__(self, base: str, dial_timeout: float, idle_close: float) -> None:
-        self.base, self.out, self.retired = base, 0, False
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=MOST_CONNECTIONS, keepalive_timeout=idle_close * IDLE_SHARE, use_dns_cache=False
-            ),
-            request_class=GuardedRequest,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=dial_timeout),
-            auto_decompress=False,
-            skip_auto_headers=PLAIN,
-            middlewares=(never_resend,),
-        )
-
-    async def retire(self) -> None:
-        self.retired = True
-        if not self.out:
-            await self.session.close()
+    """The idle connections to one life of one box, the longest rested first."""
+
+    def __init__(self, address: Address) -> None:
+        self.address, self.retired = address, False
+        self.idle: deque[Line] = deque()
 
 
 class Boxes:
-    """Attempts at the boxes of the directory."""
+    """Attempts at the boxes of the directory. ``most`` bounds the connections to all of them."""
 
-    def __init__(self, directory: Directory, dial_timeout: float, idle_close: float) -> None:
-        self.directory, self.dial_timeout, self.idle_close = directory, dial_timeout, idle_close
+    def __init__(self, directory: Directory, dial_timeout: float, idle_close: float, most: int) -> None:
+        self.directory, self.dial_timeout, self.most = directory, dial_timeout, most
+        self.keep = idle_close * IDLE_SHARE
         self.pools: dict[int, Pool] = {}
-        self.closing: set[asyncio.Task[None]] = set()
+        self.open = 0  # connections, those that come up included
         directory.watchers.append(self.changed)
 
     def changed(self, node: int) -> None:
         """The box drains, went or started anew: no connection to the old one is used again."""
         if pool := self.pools.pop(node, None):
-            task = asyncio.create_task(pool.retire())
             pool.retired = True
-            self.closing.add(task)
-            task.add_done_callback(self.closing.discard)
+            while pool.idle:
+                self.drop(pool, pool.idle[0])
 
-    def pool(self, node: int) -> Pool | None:
-        if not self.directory.serves(node):
-            return None
-        if node not in self.pools:
-            address = self.directory.boxes[node].address
-            host = f"[{address.host}]" if ":" in address.host else address.host
-            self.pools[node] = Pool(f"http://{host}:{address.port}", self.dial_timeout, self.idle_close)
-        return self.pools[node]
+    def drop(self, pool: Pool, line: Line) -> None:
+        """An idle connection has been so for long, or is in the way."""
+        self.take_out(pool, line)
+        line.abort()
+
+    def take_out(self, pool: Pool, line: Line) -> None:
+        pool.idle.remove(line)
+        self.open -= 1
+        line.left = None
+        if line.expiry:
+            line.expiry.cancel()
 
     async def attempt(self, node: int, ask: Ask, wait: float) -> tuple[Outcome, bytes | None]:
         """Send the request to the box, once; any ending that is not proven harmless may have run."""
-        pool = self.pool(node)
-        if pool is None:
+        if not self.directory.serves(node):
             return Outcome.NOT_SENT, None
-        trial = Trial(pool)
-        trial_now.set(trial)  # a request's task makes one attempt at a time
-        pool.out += 1
-        whole = False
+        pool = self.pools.get(node)
+        if pool is None:
+            pool = self.pools[node] = Pool(self.directory.boxes[node].address)
+        line, answer = None, None
+        self.open += 1
         try:
-            async with pool.session.request(
-                ask.method,
-                URL(pool.base + ask.target, encoded=True),
-                data=ask.body or None,
-                headers=encode_attempt(ask, wait),
-                allow_redirects=False,
-            ) as response:
-                body = await read_bounded(response.content)
-                whole = True
-                return self.judge(response.status, response.headers, body)
-        except NotServing:
-            return Outcome.NOT_SENT, None
-        except (NeverWritten, aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            line = self.rested(pool) or await self.dial(pool)
+            if pool.retired:  # the last look before the first byte: discovery may have spoken meanwhile
+                return Outcome.NOT_SENT, None
+            try:
+                answer = await line.exchange(encode_attempt(ask, pool.address, wait))
+            except SpoiltAnswer:
+                return Outcome.NO_CONNECTION if line.unwritten else Outcome.RESET, None
+            outcome = decode_outcome(answer.status, answer.headers)
+            return outcome, answer.body if outcome is Outcome.SERVED else None
+        except (OSError, TimeoutError):
             return Outcome.NO_CONNECTION, None
-        except (aiohttp.ClientError, OSError, ValueError):
-            return Outcome.RESET if trial.transport else Outcome.NO_CONNECTION, None
         finally:
-            if not whole and trial.transport:
-                trial.transport.abort()  # at once: close() would first write what is still buffered
-            pool.out -= 1
-            if pool.retired and not pool.out:
-                await pool.session.close()
-
-    def judge(self, status: int, headers: Mapping[str, str], body: bytes) -> tuple[Outcome, bytes | None]:
-        outcome = decode_outcome(status, headers)
-        return outcome, body if outcome is Outcome.SERVED else None
-
-    async def close(self) -> None:
-        await asyncio.gather(*[pool.session.close() for pool in self.pools.values()], *self.closing)
-
-
-async def read_bounded(content: aiohttp.StreamReader) -> bytes:
-    """A whole body; one that is larger than the protocol allows ends the connection."""
-    parts, size = [], 0
-    async for part in content.iter_any():
-        size += len(part)
-        if size > MOST_BODY:
-            raise ValueError("too large an answer")
-        parts.append(part)
-    return b"".join(parts)
+            if line and answer and answer.reusable and line.transport and not pool.retired:
+                self.give_back(pool, line)
+            else:
+                self.open -= 1
+                if line:
+                    line.abort()
+
+    def rested(self, pool: Pool) -> Line | None:
+        """An idle connection. One with bytes that nobody awaits, seen by the loop or not yet, is none."""
+        now = asyncio.get_running_loop().time()
+        while pool.idle and pool.idle[0].rested_at <= now:
+            line = pool.idle[0]
+            self.take_out(pool, line)
+            if line.usable():
+                return line
+            line.abort()
+        return None
+
+    async def dial(self, pool: Pool) -> Line:
+        if self.open > self.most:  # as many are kept as clients can have requests: an idle one is in the way
+            for other in self.pools.values():
+                if other.idle:
+                    self.drop(other, other.idle[0])
+                    break
+        async with asyncio.timeout(self.dial_timeout):
+            loop = asyncio.get_running_loop()
+            _, line = await loop.create_connection(Line, pool.address.host, pool.address.port)
+        return line
+
+    def give_back(self, pool: Pool, line: Line) -> None:
+        loop = asyncio.get_running_loop()
+        line.rested_at = loop.time() + REST
+        line.expiry = loop.call_later(self.keep, self.drop, pool, line)
+        line.left = partial(self.take_out, pool, line)
+        pool.idle.append(line)
+
+    def close(self) -> None:
+        for node in list(self.pools):
+            self.changed(node)
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import re
 from collections.abc import Mapping
@@ -9,15 +10,21 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from multidict import CIMultiDict, CIMultiDictProxy
+from aiohttp import StreamReader
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import HttpResponseParser, RawResponseMessage
+from aiohttp.http_exceptions import HttpProcessingError
+from multidict import CIMultiDictProxy
 
 from cleatyoke import api
-from cleatyoke.config import BadConfig, Config, read_address
+from cleatyoke.config import Address, BadConfig, Config, read_address
 from cleatyoke.directory import Instance, Listing
 
 MOST_BODY = 64 * 1024
 LONGEST_WAIT_MS = 600_000
 MOST_ID = 128
+MOST_HEAD = 16 * 1024  # bytes of the head of a box's answer
+MOST_EARLY = 8  # 1xx answers in front of one
 VISIBLE = re.compile(r"[!-~]+")
 FIELDS = ("X-Trace-Id", "X-Qos", "X-Plan", "X-Expires-In-Ms", "X-IO", "Content-Length")
 STATES = {
@@ -111,9 +118,111 @@
     )
 
 
-def encode_attempt(ask: Ask, wait: float) -> CIMultiDict[str]:
-    """The headers of an attempt; method, target and body pass on as they are."""
-    return CIMultiDict({"X-Trace-Id": ask.trace, "X-Expires-In-Ms": str(max(0, int(wait * 1000)))})
+def encode_attempt(ask: Ask, box: Address, wait: float) -> bytes:
+    """An attempt as it is written; method, target, id and body pass on as they are."""
+    host = f"[{box.host}]" if ":" in box.host else box.host
+    length = f"Content-Length: {len(ask.body)}\r\n" if ask.body or ask.method != "GET" else ""
+    return (
+        f"{ask.method} {ask.target} HTTP/1.1\r\nHost: {host}:{box.port}\r\nX-Trace-Id: {ask.trace}\r\n"
+        f"X-Expires-In-Ms: {max(0, int(wait * 1000))}\r\n{length}\r\n"
+    ).encode("ascii") + ask.body
+
+
+class SpoiltAnswer(Exception):
+    """What came is no answer, or not the whole of one. Its request may have run."""
+
+
+@dataclass(slots=True)
+class Answer:
+    """A box's whole answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    reusable: bool  # the connection may carry the next request: all that came belonged to this one
+
+
+class AnswerReader:
+    """Reads one answer. Each head is cut out and given to aiohttp's parser by itself, so that neither 1xx
+    answers in front nor bytes behind can be taken for the answer, or spoil one that is whole."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.buffer, self.early = bytearray(), 0
+        self.message: RawResponseMessage | None = None
+        self.length: int | None = None  # of the body; None: in chunks
+        self.chunks: StreamReader | None = None
+        self.chunk_bytes = 0
+
+    def feed(self, data: bytes) -> Answer | None:
+        """Take in bytes; returns the answer once it is whole."""
+        self.buffer += data
+        while self.message is None:
+            if not self.buffer.startswith(b"HTTP/1."[: len(self.buffer)]):
+                raise SpoiltAnswer("no answer")
+            end = self.buffer.find(b"\r\n\r\n", 0, MOST_HEAD) + 4
+            if end < 4:
+                if len(self.buffer) >= MOST_HEAD:
+                    raise SpoiltAnswer("its head does not end")
+                return None
+            head = bytes(self.buffer[:end])
+            del self.buffer[:end]
+            self.read_head(head)
+        if self.length is None:
+            return self.read_chunks()
+        if len(self.buffer) < self.length:
+            return None
+        return self.whole(bytes(self.buffer[: self.length]), len(self.buffer) == self.length)
+
+    def read_head(self, head: bytes) -> None:
+        parser = HttpResponseParser(
+            BaseProtocol(self.loop, parser=None), self.loop, 4 * MOST_BODY, auto_decompress=False,
+            max_line_size=MOST_HEAD, max_field_size=MOST_HEAD,
+        )  # fmt: skip
+        try:
+            messages, upgraded, _ = parser.feed_data(head)
+        except (HttpProcessingError, ValueError) as error:
+            raise SpoiltAnswer("its head cannot be read") from error
+        if len(messages) != 1 or upgraded:
+            raise SpoiltAnswer("its head is none of this protocol")
+        message, payload = messages[0]
+        if 100 <= message.code < 200:
+            self.early += 1
+            if self.early > MOST_EARLY:
+                raise SpoiltAnswer("too many answers in front")
+            return
+        length = message.headers.get("Content-Length")
+        if message.chunked:
+            self.parser, self.chunks = parser, payload
+        elif length is None and message.code != 200:
+            self.length = 0  # its head says all; without a length the connection is not used again
+        elif length is None or not length.isdecimal() or int(length) > MOST_BODY:
+            raise SpoiltAnswer("its length is missing or too large")
+        else:
+            self.length = int(length)
+        self.message = message
+
+    def read_chunks(self) -> Answer | None:
+        assert self.chunks is not None
+        data = bytes(self.buffer)
+        self.buffer.clear()
+        self.chunk_bytes += len(data)
+        clean = True
+        try:
+            messages, _, _ = self.parser.feed_data(data)
+            clean = not messages
+        except (HttpProcessingError, ValueError) as error:
+            clean = False  # spoilt, or noise behind the whole answer
+            if not self.chunks.is_eof() or self.chunks.exception():
+                raise SpoiltAnswer("its chunks cannot be read") from error
+        if self.chunk_bytes > 2 * MOST_BODY or self.chunks.total_bytes > MOST_BODY:
+            raise SpoiltAnswer("too large")
+        return self.whole(self.chunks.read_nowait(), clean) if self.chunks.is_eof() else None
+
+    def whole(self, body: bytes, clean: bool) -> Answer:
+        assert self.message
+        reusable = clean and not self.message.should_close
+        return Answer(self.message.code, self.message.headers, body, reusable)
 
 
 def decode_outcome(status: int, headers: Mapping[str, str]) -> api.Outcome:
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -43,10 +43,10 @@
 
 
 class FrontCase(unittest.IsolatedAsyncioTestCase):
-    async def begin(self, script: Any) -> None:
+    async def begin(self, script: Any, most: int = 32) -> None:
         self.box: HttpBox = await HttpBox(script).start()
         self.core, self.directory = Core(config().settings), Directory({})
-        self.boxes = Boxes(self.directory, 0.25, 30.0)
+        self.boxes = Boxes(self.directory, 0.25, 30.0, most)
         self.ready = False
         self.front = Front(config(), self.core, self.boxes, lambda: self.ready)
         await self.front.listen()
@@ -58,7 +58,7 @@
     async def end(self) -> None:
         await self.client.close()
         await self.front.close()
-        await self.boxes.close()
+        self.boxes.close()
         self.box.stop()
 
     async def ask(
@@ -96,6 +96,7 @@
 
         await self.begin(script)
         await self.ask("warm")
+        self.boxes.pools[1].idle[0].rested_at = 0.0
         status, _ = await self.ask("broken", "PUT", b"scan")
         self.assertEqual((status, self.box.counts["broken"]), (502, 1))
         self.assertEqual(self.box.accepted, 1, "the broken one was the pooled connection")
@@ -288,14 +289,15 @@
             return answer()
 
         await self.begin(script)
-        real = boxes_module.GuardedRequest.send
+        real = self.boxes.dial
 
-        async def late(request: Any, connection: Any) -> Any:
+        async def late(pool: Any) -> Any:
+            line = await real(pool)
             listed(self.directory, instance("s-a", self.box.port, NodeState.DRAINING))
-            return await real(request, connection)
+            return line
 
-        with mock.patch.object(boxes_module.GuardedRequest, "send", late):
-            outcome, _ = await asyncio.create_task(self.boxes.attempt(1, ask("t"), 1.0))
+        with mock.patch.object(self.boxes, "dial", late):
+            outcome, _ = await self.boxes.attempt(1, ask("t"), 1.0)
         self.assertEqual((outcome, self.box.counts["t"]), (Outcome.NOT_SENT, 0))
 
     async def test_a_refused_connection_never_ran_and_pools_of_a_draining_box_are_closed(self) -> None:
@@ -303,15 +305,93 @@
             return answer()
 
         await self.begin(script)
-        await asyncio.create_task(self.boxes.attempt(1, ask("t"), 1.0))
+        await self.boxes.attempt(1, ask("t"), 1.0)
         self.assertEqual(self.box.open, 1)
         listed(self.directory, instance("s-a", self.box.port, NodeState.DRAINING))
         await self.until(lambda: self.box.open == 0)
         self.box.stop()
         listed(self.directory, instance("s-a", self.box.port))
-        outcome, _ = await asyncio.create_task(self.boxes.attempt(1, ask("t"), 1.0))
+        outcome, _ = await self.boxes.attempt(1, ask("t"), 1.0)
         self.assertEqual(outcome, Outcome.NO_CONNECTION)
 
+    async def test_a_spoilt_answer_is_a_reset_that_may_have_run_and_ends_its_connection(self) -> None:
+        good = answer()
+        spoilt = [
+            b"\x00\xffnoise", b"HTTP/1.1 tea\r\n\r\n", good.replace(b"/1.1", b"/2.0"),
+            b"HTTP/1.1 200 X\r\n" + b"X: tea\r\n" * 9000, answer(200, b"", "X: tea")[:-2],
+            answer(200, b"", "Content-Length: 4"), b"HTTP/1.1 200 X\r\n\r\ntile", good[:-1],
+            *(good.replace(b": 4", one) for one in (b": -4", b": +4", b": 3000000000", b" : 4")),
+            b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntile\r\nzz\r\n",
+            b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\ntile",
+            b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" + b"fff0\r\n%s\r\n" % bytes(65520) * 2,
+            b"HTTP/1.1 101 X\r\nUpgrade: websocket\r\nConnection: upgrade\r\n\r\n" + good,
+            b"HTTP/1.1 100 X\r\n\r\n" * 9 + good,
+        ]  # fmt: skip
+
+        async def script(trace: str) -> bytes:
+            return spoilt[int(trace)]
+
+        await self.begin(script)
+        with mock.patch.object(boxes_module, "GAP", 0.05):
+            for place, text in enumerate(spoilt):
+                found = await self.boxes.attempt(1, ask(str(place), "PUT", b"scan"), 1.0)
+                self.assertEqual(found, (Outcome.RESET, None), text[:80])
+        self.assertEqual(set(self.box.counts.values()), {1})
+        self.assertEqual((self.box.accepted, self.boxes.open), (len(spoilt), 0))
+
+    async def test_a_good_answer_is_served_whatever_comes_with_it_and_only_that(self) -> None:
+        good = answer(200, b"tile", "Endpoint-Load-Metrics: \x01 queue=\x7f", "X-Served-Elsewhere: -1e999")
+        chunked = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" + b"2\r\nti\r\n2\r\nle\r\n0\r\n\r\n"
+        early = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: tea\r\n\r\n"
+        noise = b"\x00noise"
+        cases = [early + good, chunked, good + good, good + noise, chunked + noise, chunked + good]
+
+        async def script(trace: str) -> bytes:
+            return cases[int(trace)]
+
+        await self.begin(script)
+        with mock.patch.object(boxes_module, "REST", 0.0):
+            for place, text in enumerate(cases):
+                found = await self.boxes.attempt(1, ask(str(place)), 1.0)
+                self.assertEqual(found, (Outcome.SERVED, b"tile"), text)
+                self.assertEqual(self.boxes.open, int(place < 2), "what brought more is not used again")
+
+    async def test_bytes_that_come_while_a_connection_is_pooled_are_not_the_next_answer(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer(200, trace.encode())
+
+        await self.begin(script)
+        for trace, read in (("first", True), ("second", False), ("third", True)):
+            self.assertEqual(await self.boxes.attempt(1, ask(trace), 1.0), (Outcome.SERVED, trace.encode()))
+            (line,) = self.boxes.pools[1].idle
+            line.rested_at = 0.0
+            (writer,) = self.box.writers
+            # It goes to the kernel at once; without a turn of the loop, nobody has read it yet.
+            writer.write(answer(200, b"stale"))
+            if read:
+                await self.until(lambda: self.boxes.open == 0)
+            else:
+                self.assertFalse(line.usable())
+        self.assertEqual(self.box.accepted, 3)
+
+    async def test_a_connection_rests_after_an_answer_and_idle_ones_make_room_at_the_bound(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer()
+
+        await self.begin(script, most=2)
+        listed(self.directory, instance("s-a", self.box.port), instance("s-b", self.box.port, cell=1))
+        with mock.patch.object(boxes_module, "REST", 60):
+            for trace in "ab":  # the first one rests, so that the second takes another
+                await self.boxes.attempt(1, ask(trace), 1.0)
+            self.assertEqual((self.box.accepted, self.boxes.open), (2, 2))
+            await self.boxes.attempt(2, ask("c"), 1.0)
+            self.assertEqual((self.boxes.open, len(self.boxes.pools[1].idle)), (2, 1))
+        self.boxes.pools[1].idle[0].rested_at = 0.0
+        await self.boxes.attempt(1, ask("d"), 1.0)
+        self.assertEqual((self.box.accepted, self.boxes.open), (3, 2))
+        self.box.stop()  # the boxes close their idle connections
+        await self.until(lambda: self.boxes.open == 0)
+
 
 def entry(state: str, port: int = 9) -> dict[str, Any]:
     return {"instanceId": "s-a", "hostPort": f"127.0.0.1:{port}", "zone": "basement", "cell": 0,
