Leave newcomers to the kernel amid a flood, and bound ids, cells and waits

Causes: server.py admit evicted the oldest silent connection even where it was a usual client's, a few ms old, with its request still in the kernel; asyncio's listener accepts 512 before one is counted. messages.py took waits of up to ten minutes, so that a bad write on a silent box was left without a word. Now net/sockets.py accepts only where there is room; a class's GiveUpS bounds the wait; units, shards and methods that the settings rule out get 400. Directory.numbers and Policy.held no longer grow with new names and shards.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -107,7 +107,7 @@
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     try:
-        await front.listen()
+        front.listen()
         files = await FileService.start(config, core, directory)
     except OSError as error:
         raise BadConfig(f"listen: {error}") from error
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -15,7 +15,7 @@
 REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
 MOST_SOCKETS = 1024
-SPARE_SOCKETS = 72  # listeners, log, discovery, and a turn's connections accepted before they are counted
+SPARE_SOCKETS = 56  # listeners, log, discovery twice, files read, connections whose end is still on its way
 MOST_SESSIONS = 32
 FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
 
@@ -93,6 +93,9 @@
     settings: api.Settings
     classes: dict[str, int]
     plans: dict[str, int]
+    give_up: list[float]  # by class: seconds that its clients wait at the most; infinite: not said
+    writes: list[bool]  # by class, or empty where nothing is said
+    shards: int  # counted from 0; 0: nothing is said
     zones: dict[str, int]
     dial_timeout: float
     idle_close: float
@@ -135,7 +138,7 @@
 
     def number(self, key: str, default: float | None = None) -> float:
         value = self.get(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        if value is not default and not finite(value):
             raise self.fail(key, f"want a number, found {value!r}")
         return float(value)
 
@@ -184,6 +187,10 @@
                 raise self.fail(key, "unknown key")
 
 
+def finite(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+
+
 def read_address(text: str, key: str) -> Address:
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdecimal() or not 0 <= int(port) <= 65535:
@@ -274,7 +281,8 @@
         raise BadConfig(f"seed: want hex digits, found {seed_text!r}") from error
     facts = root.table("settings")
     limits = facts.table("PolicyLimits")
-    classes, plans = names(facts.tables("Lanes")), names(facts.tables("Contracts"))
+    lanes, extra = facts.tables("Lanes"), facts.table("Extra", {})
+    classes, plans = names(lanes), names(facts.tables("Contracts"))
     sftp, vrrp = read_fronts(fronts, classes, plans)
     sockets = root.table("limits", {}).whole("sockets", 2 * SPARE_SOCKETS, 1 << 20, MOST_SOCKETS)
 
@@ -294,6 +302,9 @@
         settings=read_settings(facts.values, seed),
         classes=classes,
         plans=plans,
+        give_up=[lane.number("GiveUpS", math.inf) for lane in lanes],
+        writes=[bool(one) for one in extra.get("ChangesData", [])],
+        shards=extra.whole("Shards", 0, 1 << 31, 0),
         zones={zone: place for place, zone in enumerate(facts.get("Areas", []))},
         dial_timeout=limits.number("DialTimeoutS", 0.25),
         idle_close=limits.number("IdleCloseS", 30.0),
--- a/cleatyoke/directory.py
+++ b/cleatyoke/directory.py
@@ -4,10 +4,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import count
 
 from cleatyoke import api
 from cleatyoke.config import Address
 
+MOST_GONE = 1024  # boxes that went and whose numbers are kept, as they may return or a call may name them
+
 
 @dataclass(slots=True, frozen=True)
 class Instance:
@@ -35,7 +38,9 @@
 
     def __init__(self, zones: dict[str, int]) -> None:
         self.zones = zones
-        self.numbers: dict[str, int] = {}  # never forgotten: a box that comes back has its old number
+        self.numbers: dict[str, int] = {}  # a box that comes back has its old number
+        self.counted = count(1)  # a number is never given twice
+        self.gone: dict[str, None] = {}  # boxes that are not listed, the first to go first
         self.boxes: dict[int, Instance] = {}
         self.version: int | None = None
         self.watchers: list[Callable[[int], None]] = []
@@ -51,7 +56,9 @@
             self.boxes.clear()
         entries = []
         for box in listing.instances:
-            node = self.numbers.setdefault(box.name, len(self.numbers) + 1)
+            if box.name not in self.numbers:
+                self.numbers[box.name] = next(self.counted)
+            node = self.numbers[box.name]
             if box.state is api.NodeState.GONE:
                 self.boxes.pop(node, None)
             else:
@@ -59,8 +66,17 @@
             zone = self.zones.setdefault(box.zone, len(self.zones))
             entries.append(api.NodeEntry(node, box.cell, zone, box.state, box.started))
         self.version = listing.version
+        self.forget()
         for node, box in before.items():
             if self.boxes.get(node) != box:
                 for watcher in self.watchers:
                     watcher(node)
         return entries
+
+    def forget(self) -> None:
+        """Guards the memory of a long life in which boxes are replaced under new names all the time."""
+        unlisted = [name for name, node in self.numbers.items() if node not in self.boxes]
+        self.gone = {name: None for name in self.gone if self.numbers[name] not in self.boxes}
+        self.gone.update(dict.fromkeys(unlisted))
+        for name in list(self.gone)[: max(0, len(self.gone) - MOST_GONE)]:
+            del self.gone[name], self.numbers[name]
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -18,6 +17,7 @@
 from cleatyoke.config import Address
 from cleatyoke.directory import Directory
 from cleatyoke.net.messages import Answer, AnswerReader, Ask, SpoiltAnswer, decode_outcome, encode_attempt
+from cleatyoke.net.sockets import unread
 
 IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
 REST = 0.02  # seconds that a connection rests after an answer, so that what comes behind that is noticed
@@ -86,9 +86,7 @@
         """Open, and nothing has come that the loop has not read yet."""
         if self.transport is None or self.transport.is_closing():
             return False
-        look = select.poll()
-        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not look.poll(0)
+        return not unread(self.transport)
 
     async def exchange(self, request: bytes) -> Answer:
         assert self.transport
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -102,18 +102,22 @@
         raise BadMessage("X-IO: a field is given twice")
     if method == "GET" and body:
         raise BadMessage("Content-Length: a read has no body")
+    index, largest = config.classes[kind], int(config.settings.largest) or 1 << 20
+    if config.writes and config.writes[index] != (method == "PUT"):
+        raise BadMessage(f"X-Qos: {kind!r} does not go with {method}")
+    wait = whole(headers.get("X-Expires-In-Ms"), "X-Expires-In-Ms", 0, LONGEST_WAIT_MS) / 1000
     return Ask(
         trace=trace,
         method=method,
         target=target,
-        class_index=config.classes[kind],
+        class_index=index,
         plan=config.plans[plan],
         volume=hex16(fields.get("volume"), "X-IO volume"),
         item=hex16(blocks[0], "block"),
-        cell=whole(fields.get("shard"), "X-IO shard", -1, 1 << 31),
-        units=float(whole(fields.get("units"), "X-IO units", 1, 1 << 20)),
+        cell=whole(fields.get("shard"), "X-IO shard", -1, (config.shards or 1 << 31) - 1),
+        units=float(whole(fields.get("units"), "X-IO units", 1, largest)),
         hosts=whole(fields.get("hosts"), "X-IO hosts", 1, 1 << 20),
-        wait=whole(headers.get("X-Expires-In-Ms"), "X-Expires-In-Ms", 0, LONGEST_WAIT_MS) / 1000,
+        wait=min(wait, config.give_up[index]),  # a longer word would hold a box's slot for as long
         body=body,
     )
 
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -20,31 +19,25 @@
 from cleatyoke.core import ATTEMPT_MARGIN, Core, Failed, Refused, Served
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
+from cleatyoke.net.sockets import Listener, unread
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
 HEAD = 0.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
 BODY = 1.5  # seconds for a body to come
 MOST_HEAD = 4096  # bytes of a line or a field of a head
 MOST_FIELDS = 64
-BACKLOG = 512  # connections that the kernel holds until they are accepted
-ACCEPTED = 32  # accepted in one turn of the loop, before any is counted
+SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
 REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken
 log = structlog.get_logger()
 
 
-class TurnedAway(asyncio.Protocol):
-    """A connection beyond every bound ends at once, before it can starve those to the boxes."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        transport.close()
-
-
 class Client(RequestHandler):
     """A client's connection: aiohttp's, and the guards that it lacks against clients that behave badly."""
 
     def __init__(self, front: Front, **settings: Any) -> None:
         super().__init__(front.server, loop=front.core.loop, **settings)
         self.front = front
+        self.came = self._loop.time()
         self.began = 0.0  # when the first byte of a message came whose head is not whole yet; 0: none has
         self.busy = self.whole = False  # a message is in hand; and nothing of it is still to come
 
@@ -56,6 +49,10 @@
         self.front.forget(self)
         super().connection_lost(exc)
 
+    def evictable(self) -> bool:
+        """No request is on its way here as far as anyone can see."""
+        return not self.began and self.transport is not None and not unread(self.transport)
+
     def data_received(self, data: bytes) -> None:
         if self.whole:
             # Guards the box and the next request: what comes behind a request before its answer is no
@@ -118,7 +115,7 @@
         self.idle: dict[Client, None] = {}  # without a message in hand, the longest idle first
         self.taken: set[str] = set()  # ids of open requests, and of those just over
         self.over: deque[tuple[float, str]] = deque()  # when to forget which of them
-        self.listener: asyncio.Server | None = None
+        self.listener: Listener | None = None
         self.address = config.listen
 
     def make_request(
@@ -133,22 +130,23 @@
             message, payload, protocol, writer, task, self.core.loop, client_max_size=MOST_BODY
         )
 
-    async def listen(self) -> None:
-        """asyncio accepts as many connections in a turn as the backlog holds, before any is counted: a flood
-        would take every descriptor. So it is told a small one, and the kernel the one that is wanted."""
-        family = socket.AF_INET6 if ":" in self.address.host else socket.AF_INET
-        listening = socket.create_server((self.address.host, self.address.port), family=family)
-        self.listener = await self.core.loop.create_server(self.admit, sock=listening, backlog=ACCEPTED)
-        listening.listen(BACKLOG)
-        self.address = Address(*listening.getsockname()[:2])  # where the port was 0
-
-    def admit(self) -> asyncio.Protocol:
-        """Take a connection; at the bound one that never spoke makes room, or else the longest idle."""
-        if len(self.clients) >= self.most_clients:
-            room = next(iter(self.silent), None) or next((one for one in self.idle if not one.began), None)
-            if room is None:
-                return TurnedAway()
-            room.evict()
+    def listen(self) -> None:
+        self.listener = Listener(self.address.host, self.address.port, self.room, self.admit)
+        self.address = Address(*self.listener.socket.getsockname()[:2])  # where the port was 0
+
+    def room(self) -> bool:
+        """Whether one more connection has a place. At the bound the oldest that never spoke makes room, or
+        else the longest idle; where a flood has just filled it, the kernel holds newcomers for an instant."""
+        if len(self.clients) < self.most_clients:
+            return True
+        before = self.core.loop.time() - SILENT
+        for one in [*self.silent, *self.idle]:
+            if one.came <= before and one.evictable():
+                one.evict()
+                return True
+        return False
+
+    def admit(self) -> Client:
         client = Client(
             self, keepalive_timeout=IDLE, access_log=None, auto_decompress=False, lingering_time=0.0,
             max_line_size=MOST_HEAD, max_field_size=MOST_HEAD, max_headers=MOST_FIELDS,
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -146,6 +146,7 @@
         self.nodes = {name: node for name, node in self.nodes.items() if node.live or node.answered > idle}
         self.tries = {item: tried for item, tried in self.tries.items() if tried[1] > oldest}
         self.keys = {key: queue for key, queue in self.keys.items() if queue}
+        self.held = {cell: queue for cell, queue in self.held.items() if queue}
         self.key_rest = {key: rest for key, rest in self.key_rest.items() if rest > self.now}
 
     # Node allocator
@@ -296,7 +297,7 @@
         if event.settled:
             self.close(request, None, event.outcome is Outcome.SERVED)
         elif not request.over and not request.out:
-            self.held[request.cell].append(request)
+            self.held.setdefault(request.cell, []).append(request)
             self.touch(request.cell)
             once = request.ran and request.kind.repeat is Repeat.ONCE
             if once or event.outcome is Outcome.CANCELLED or request.sends >= self.settings.max_attempts:
@@ -456,7 +457,7 @@
         request.over = True
         self.waited[request.index] += self.now - request.arrived
         self.answered[request.index] += 1
-        if request in self.held[request.cell]:
+        if request in self.held.get(request.cell, ()):
             self.held[request.cell].remove(request)
         self.actions += [answer] if answer else []
         if not served and request.ask.item is not None:
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -16,6 +16,7 @@
 import aiohttp
 
 from cleatyoke import api
+from cleatyoke import directory as directory_module
 from cleatyoke.api import NodeState, Outcome
 from cleatyoke.config import Address, BadConfig, read_config, read_fronts
 from cleatyoke.core import Core
@@ -26,6 +27,7 @@
 from cleatyoke.net.discovery import Discovery
 from cleatyoke.net.messages import Ask
 from cleatyoke.net.server import Front
+from cleatyoke.rules import Policy
 from tests.wire import FACTS, DiscoveryAgent, HttpBox, answer, config, instance, listed
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -49,7 +51,7 @@
         self.boxes = Boxes(self.directory, 0.25, 30.0, most)
         self.ready = False
         self.front = Front(config(), self.core, self.boxes, lambda: self.ready)
-        await self.front.listen()
+        self.front.listen()
         self.url = f"http://127.0.0.1:{self.front.address.port}"
         self.core.tell(listed(self.directory, instance("s-a", self.box.port), whole=True))
         self.client = aiohttp.ClientSession()
@@ -125,6 +127,12 @@
         self.assertEqual((status, self.box.counts["t"]), (502, 1))
         await self.until(lambda: self.box.open == 0)  # the given-up attempt's connection is closed
 
+    async def test_a_client_that_says_it_waits_for_minutes_gets_no_longer_than_its_class(self) -> None:
+        await self.begin(lambda trace: asyncio.sleep(60))
+        self.front.config.give_up[1] = 0.3
+        async with asyncio.timeout(5):  # the box would take a minute
+            self.assertEqual((await self.ask("t", "PUT", b"scan", X_Expires_In_Ms="600000"))[0], 502)
+
     async def test_a_client_that_leaves_takes_its_attempt_with_it(self) -> None:
         await self.begin(lambda trace: asyncio.sleep(60))
         asking = asyncio.create_task(self.ask("t", X_Expires_In_Ms="60000"))
@@ -146,7 +154,9 @@
         for name, value in (
             ("X_Qos", "tea"), ("X_Plan", "gold"), ("X_IO", "volume=zz"), ("X_Expires_In_Ms", "-1"),
             ("X_Expires_In_Ms", "1_500"), ("X_Trace_Id", ""), ("X_Trace_Id", "t" * 200),
-            ("X_IO", HEADERS["X-IO"] + ",units=3"), ("X_IO", HEADERS["X-IO"].replace("=2", "=0x2")),
+            ("X_IO", HEADERS["X-IO"].replace("units=2", "units=99")), ("X_Qos", "record-write"),
+            ("X_IO", HEADERS["X-IO"].replace("shard=0", "shard=9")), ("X_IO", HEADERS["X-IO"] + ",units=3"),
+            ("X_IO", HEADERS["X-IO"].replace("=2", "=0x2")),
         ):  # fmt: skip
             status, text = await self.ask("t", **{name: value})
             self.assertEqual(status, 400)
@@ -186,6 +196,28 @@
         for _, writer in [*silent, *more]:
             writer.close()
 
+    async def test_a_flood_makes_room_by_none_whose_request_may_be_on_its_way(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer()
+
+        await self.begin(script)
+        self.front.most_clients = 2
+        with mock.patch.object(server_module, "SILENT", 60):
+            young = [await self.raw() for _ in range(2)]
+            await self.until(lambda: len(self.front.clients) == 2)
+            waiting = await self.raw(self.head("t"))
+            await self.until(lambda: self.front.listener and self.front.listener.bell)  # it waits for room
+        for one in self.front.silent:
+            one.came = 0.0
+        for place, (_, writer) in enumerate(young):
+            writer.write(self.head(f"y{place}")[:9] if place else self.head("y0"))
+        self.assertIn(b" 200 ", await waiting[0].readline())  # where the one that was answered had been
+        self.assertIn(b" 200 ", await young[0][0].readline())
+        young[1][1].write(self.head("y1")[9:])
+        self.assertIn(b" 200 ", await young[1][0].readline())
+        for _, writer in [*young, waiting]:
+            writer.close()
+
     async def test_clients_that_send_nothing_whole_are_answered_or_closed_in_time(self) -> None:
         # Silent; half a head; a head that never ends; a body that never comes; one too long, unread.
         await self.begin(lambda trace: asyncio.sleep(60))
@@ -398,6 +430,27 @@
             "lifecycle": state, "startedAtMs": 0}  # fmt: skip
 
 
+class GrowthCase(unittest.TestCase):
+    def test_boxes_that_went_are_forgotten_in_the_end_and_numbers_are_never_given_twice(self) -> None:
+        directory = Directory({})
+        listed(directory, instance("s-stays", 1))
+        with mock.patch.object(directory_module, "MOST_GONE", 3):
+            for life in range(9):
+                listed(directory, instance(f"s-{life}", 1))
+                listed(directory, instance(f"s-{life}", 1, NodeState.GONE))
+        self.assertEqual(directory.numbers, {"s-stays": 1, "s-6": 8, "s-7": 9, "s-8": 10})
+        listed(directory, instance("s-6", 1), instance("s-new", 1))
+        self.assertEqual((directory.numbers["s-6"], directory.numbers["s-new"]), (8, 11))
+
+    def test_cells_that_only_requests_name_leave_nothing_behind(self) -> None:
+        policy = Policy(config().settings)
+        for cell in range(50):
+            policy.step(100.0, [api.Arrival(f"r{cell}", 0, 0, cell, cell, cell, 1.0, 101.5, 1)])
+        for now in (150.0, 200.0):
+            policy.step(now, [])
+        self.assertEqual((policy.held, policy.volumes, policy.requests, policy.tries), ({}, {}, {}, {}))
+
+
 class DiscoveryStory(unittest.IsolatedAsyncioTestCase):
     async def test_a_bad_line_is_skipped_and_the_whole_list_taken(self) -> None:
         whole = {"generation": 7, "reset": True, "instances": [entry("SERVING")]}
