Use what nodes served elsewhere for reserves, and call off attempts whose answer is lost

X-Served-Elsewhere was decoded nowhere, so a reserve was split evenly although volumes use their hosts unevenly. Lines: rules.py judge_node halved a depth for any attempt past its aim; call_off_overdue waited for the aim, and never ended a write; on_ended gave a called-off read up even with time left; on_arrival took reserve / hosts. Loads of answers (queue, util) are still not used.

--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -105,6 +105,7 @@
     largest: float
     mean: float
     within_share: float
+    tells_others: bool = False  # nodes say what they served a volume through other hosts
     retry_after: float = 0.0  # longest time that clients heed; 0: they are not told when to come back
 
 
@@ -144,7 +145,8 @@
 
 @dataclass(slots=True)
 class Ended:
-    """Event: an attempt is over; ``settled`` when its request is too."""
+    """Event: an attempt is over; ``settled`` when its request is too. ``elsewhere``: the units that the node
+    says it has served the volume through other hosts since its last answer to this one about it."""
 
     request: str
     attempt: int
@@ -152,6 +154,7 @@
     outcome: Outcome
     spent: float
     settled: bool
+    elsewhere: float = 0.0
 
 
 @dataclass(slots=True)
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -251,6 +251,7 @@
         cold_units=extra.number("ColdUnits", 0.0),
         largest=extra.number("Largest", 0.0),
         mean=extra.number("MeanUnits", 0.0),
+        tells_others=extra.flag("SaysOthers"),
         within_share=extra.number("WithinShare", 0.0),
         retry_after=limits.number("MaxRetryAfterS", 0.0) if limits.flag("RetryAfter") else 0.0,
     )
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -18,13 +18,23 @@
 from cleatyoke.rules import Policy
 
 T = TypeVar("T")
-Attempt = Callable[[int], Awaitable[tuple[api.Outcome, T | None]]]  # node -> how it ended, and its answer
-
 ATTEMPT_MARGIN = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
 ANSWER_MARGIN = 0.015  # and the core answers by itself where the policy still has not
 log = structlog.get_logger()
 
 
+@dataclass(slots=True)
+class Ending(Generic[T]):
+    """How an attempt ended, its answer, and the units of its volume that the node served by other hosts."""
+
+    outcome: api.Outcome
+    value: T | None = None
+    elsewhere: float = 0.0
+
+
+Attempt = Callable[[int], Awaitable[Ending[T]]]  # of the node
+
+
 @dataclass(slots=True)
 class Served(Generic[T]):
     value: T | None
@@ -111,9 +121,9 @@
                 while True:
                     match await call.words.get():
                         case api.Send(_, node):
-                            outcome, value = await self.attempt(ask, call, node, attempt)
-                            if outcome is api.Outcome.SERVED:
-                                return Served(value)
+                            ending = await self.attempt(ask, call, node, attempt)
+                            if ending.outcome is api.Outcome.SERVED:
+                                return Served(ending.value)
                         case api.Refuse(_, wait):
                             return Refused(wait)
                         case api.Fail():
@@ -131,32 +141,33 @@
             while not call.words.empty():
                 # Guards the policy's count of slots: a word to send that came too late is an attempt to it.
                 if isinstance(word := call.words.get_nowait(), api.Send):
-                    self.end(ask, call.attempts, word.node, api.Outcome.NOT_SENT, 0.0, settled=True)
+                    self.end(ask, call.attempts, word.node, Ending(api.Outcome.NOT_SENT), 0.0, settled=True)
 
     async def attempt(
         self, ask: api.Arrival, call: Call, node: int, attempt: Attempt[T]
-    ) -> tuple[api.Outcome, T | None]:
+    ) -> Ending[T]:
         """One attempt, until its timer ends it or the policy calls it off by the same timer. Its end is told
         once its connection is free or closed, so that there are never two out."""
         number, sent, until = call.attempts, self.now(), ask.deadline - ATTEMPT_MARGIN
         call.attempts += 1
-        outcome, value, settled = api.Outcome.CANCELLED, None, True  # a client that leaves takes it along
+        ending, settled = Ending[T](api.Outcome.CANCELLED), True  # a client that leaves takes it along
         try:
             async with asyncio.timeout_at(until - self.offset) as call.out:
-                outcome, value = await attempt(node)
-            settled = outcome is api.Outcome.SERVED
+                ending = await attempt(node)
+            settled = ending.outcome is api.Outcome.SERVED
         except TimeoutError:
             settled = False
-            outcome = api.Outcome.TIMEOUT if self.now() >= until else api.Outcome.CANCELLED
+            ending = Ending(api.Outcome.TIMEOUT if self.now() >= until else api.Outcome.CANCELLED)
         except Exception:
             log.exception("attempt_fault", node=node)
-            outcome, settled = api.Outcome.RESET, False  # in doubt, it may have run
+            ending, settled = Ending(api.Outcome.RESET), False  # in doubt, it may have run
         finally:
             call.out = None
-            self.end(ask, number, node, outcome, self.now() - sent, settled)
-        return outcome, value
+            self.end(ask, number, node, ending, self.now() - sent, settled)
+        return ending
 
     def end(
-        self, ask: api.Arrival, number: int, node: int, outcome: api.Outcome, spent: float, settled: bool
+        self, ask: api.Arrival, number: int, node: int, ending: Ending[T], spent: float, settled: bool
     ) -> None:
-        self.tell(api.Ended(ask.request, number, node, outcome, spent, settled))
+        elsewhere = ending.elsewhere
+        self.tell(api.Ended(ask.request, number, node, ending.outcome, spent, settled, elsewhere))
--- a/cleatyoke/middleware.py
+++ b/cleatyoke/middleware.py
@@ -13,7 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Outcome
-from cleatyoke.core import Core, Refused, Served
+from cleatyoke.core import Core, Ending, Refused, Served
 
 NODE = web.RequestKey("node", int)
 
@@ -32,17 +32,17 @@
             return await handler(request)
         last: web.StreamResponse | None = None
 
-        async def attempt(node: int) -> tuple[Outcome, web.StreamResponse | None]:
+        async def attempt(node: int) -> Ending[web.StreamResponse]:
             nonlocal last
             request[NODE] = node
             try:
                 last = await handler(request)
             except NeverRan:
-                return Outcome.FULL, None
+                return Ending(Outcome.FULL)
             except web.HTTPException as error:
                 last = error
             begun = last.prepared  # what has begun to reach the client cannot be made anew
-            return Outcome.SERVED if last.status < 500 or begun else Outcome.ERROR, last
+            return Ending(Outcome.SERVED if last.status < 500 or begun else Outcome.ERROR, last)
 
         match await core.serve(ask, attempt):
             case Served(response) if response is not None:
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -15,8 +15,17 @@
 
 from cleatyoke.api import Outcome
 from cleatyoke.config import Address
+from cleatyoke.core import Ending
 from cleatyoke.directory import Directory
-from cleatyoke.net.messages import Answer, AnswerReader, Ask, SpoiltAnswer, decode_outcome, encode_attempt
+from cleatyoke.net.messages import (
+    Answer,
+    AnswerReader,
+    Ask,
+    SpoiltAnswer,
+    decode_elsewhere,
+    decode_outcome,
+    encode_attempt,
+)  # fmt: skip
 from cleatyoke.net.sockets import unread
 
 IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
@@ -140,10 +149,10 @@
         if line.expiry:
             line.expiry.cancel()
 
-    async def attempt(self, node: int, ask: Ask, wait: float) -> tuple[Outcome, bytes | None]:
+    async def attempt(self, node: int, ask: Ask, wait: float) -> Ending[bytes]:
         """Send the request to the box, once; any ending that is not proven harmless may have run."""
         if not self.directory.serves(node):
-            return Outcome.NOT_SENT, None
+            return Ending(Outcome.NOT_SENT)
         pool = self.pools.get(node)
         if pool is None:
             pool = self.pools[node] = Pool(self.directory.boxes[node].address)
@@ -152,15 +161,17 @@
         try:
             line = self.rested(pool) or await self.dial(pool)
             if pool.retired:  # the last look before the first byte: discovery may have spoken meanwhile
-                return Outcome.NOT_SENT, None
+                return Ending(Outcome.NOT_SENT)
             try:
                 answer = await line.exchange(encode_attempt(ask, pool.address, wait))
             except SpoiltAnswer:
-                return Outcome.NO_CONNECTION if line.unwritten else Outcome.RESET, None
+                return Ending(Outcome.NO_CONNECTION if line.unwritten else Outcome.RESET)
             outcome = decode_outcome(answer.status, answer.headers)
-            return outcome, answer.body if outcome is Outcome.SERVED else None
+            if outcome is not Outcome.SERVED:
+                return Ending(outcome)
+            return Ending(outcome, answer.body, decode_elsewhere(answer.headers))
         except (OSError, TimeoutError):
-            return Outcome.NO_CONNECTION, None
+            return Ending(Outcome.NO_CONNECTION)
         finally:
             if line and answer and answer.reusable and line.transport and not pool.retired:
                 self.give_back(pool, line)
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -26,6 +26,7 @@
 MOST_ID = 128
 MOST_HEAD = 16 * 1024  # bytes of the head of a box's answer
 MOST_EARLY = 8  # 1xx answers in front of one
+PLAIN = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
 VISIBLE = re.compile(r"[!-~]+")
 FIELDS = ("X-Trace-Id", "X-Qos", "X-Plan", "X-Expires-In-Ms", "X-IO", "Content-Length")
 STATES = {
@@ -239,6 +240,13 @@
     return api.Outcome.ERROR
 
 
+def decode_elsewhere(headers: Mapping[str, str]) -> float:
+    """The units that the shard served the volume through other fronts. A good answer may bring an odd figure:
+    that counts as none, and never spoils the answer."""
+    text = headers.get("X-Served-Elsewhere", "0")
+    return float(text) if PLAIN.fullmatch(text) else 0.0
+
+
 def decode_listing(text: str | bytes) -> Listing:
     try:
         return read_listing(json.loads(text))
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -14,9 +14,8 @@
 from aiohttp.web_protocol import RequestHandler
 
 from cleatyoke import api
-from cleatyoke.api import Outcome
 from cleatyoke.config import Address, Config
-from cleatyoke.core import ATTEMPT_MARGIN, Core, Failed, Refused, Served
+from cleatyoke.core import ATTEMPT_MARGIN, Core, Ending, Failed, Refused, Served
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
 from cleatyoke.net.sockets import Listener, unread
@@ -213,7 +212,7 @@
     async def schedule(self, ask: Ask, deadline: float) -> web.Response:
         """One request through the core: an attempt is one exchange with a box."""
 
-        async def attempt(node: int) -> tuple[Outcome, bytes | None]:
+        async def attempt(node: int) -> Ending[bytes]:
             return await self.boxes.attempt(node, ask, deadline - ATTEMPT_MARGIN - self.core.now())
 
         arrival = api.Arrival(
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -23,7 +23,9 @@
 IDLE = 60.0  # seconds after which an unused volume is forgotten: a reserve has long filled up again
 QUEUE_SHARE = 0.125  # part of the tightest aim to wait at a node; the rest is for service and the held queue
 OVERDUE = 3.0  # times what an answer should take: how long an attempt may be out, or its aim if longer
+LOST = 0.4  # of the aim: the least for which an attempt whose answer seems lost may be out
 GAIN = 0.1  # weight of one answer in a running mean, more where answers are rare
+OTHERS = 1.0  # seconds over which the use of volumes through other hosts is averaged
 SPARE_MOST = 64.0  # times its start that a node's spare rate may reach: all that a volume asks
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
@@ -247,7 +249,7 @@
             self.extras.append(self.now)
         self.held[request.cell].remove(request)
         request.out[request.sends] = node, self.now
-        self.agenda.add(self.now + self.patience(request, node), request)
+        self.agenda.add(self.now + self.patience(request, node, -math.inf), request)
         request.sends += 1
         node.out[request.index] += 1
         node.cold.level -= request.units
@@ -260,7 +262,7 @@
             self.taken.append(self.now)
             self.touch(-1)  # the budget has grown, so that held repeats may go
         plan, hosts = self.settings.plans[event.plan], int(clamp(event.hosts, 1, self.hosts))
-        part = plan.reserve / hosts
+        part = self.reserve_here(event.volume, plan.reserve, hosts)
         ceiling = part + self.settings.largest if part else 0.0
         volume = self.volumes.setdefault(event.volume, Volume(self.now, ceiling))
         volume.reserve.fill(part, ceiling, self.now)
@@ -282,12 +284,31 @@
         self.touch(request.cell)
         self.doubtful.append(request)
 
+    def reserve_here(self, name: int, reserve: float, hosts: int) -> float:
+        """This host's part of a reserve: an even one, or more by what the other hosts leave of theirs, as the
+        nodes tell. Guards against reserves unmet where a volume uses its hosts unevenly. Harms for a moment
+        where the lead changes, as two hosts then spend the same part."""
+        told = self.volumes[name].others if name in self.volumes and self.settings.tells_others else {}
+        even = reserve / hosts
+        return max(even, reserve - sum(rate for rate, _ in told.values())) if told else even
+
+    def hear_of_others(self, request: Request, node: Node, units: float) -> None:
+        """Until more is known, the others are taken to use all of their parts."""
+        plan, told = self.settings.plans[request.ask.plan], request.volume.others
+        rate, last = told.get(node.cell, (plan.reserve * (1 - 1 / request.hosts), self.now))
+        span = self.now - last
+        if span > 0 or node.cell not in told:
+            seen = 1 - math.exp(-span / OTHERS)
+            told[node.cell] = rate + (seen * (units / span - rate) if span > 0 else 0.0), self.now
+
     def on_ended(self, event: Ended, request: Request) -> None:
         if event.attempt not in request.out:
             return
         node, sent = request.out.pop(event.attempt)
         node.out[request.index] -= 1
-        self.judge_node(node, event, request)
+        self.judge_node(node, event, request, sent)
+        if event.outcome is Outcome.SERVED:
+            self.hear_of_others(request, node, event.elsewhere)
         self.touch(node.cell)
         if event.outcome is not Outcome.SERVED:
             request.volume.due[int(request.arrived)] += request.full
@@ -300,25 +321,37 @@
             self.held.setdefault(request.cell, []).append(request)
             self.touch(request.cell)
             once = request.ran and request.kind.repeat is Repeat.ONCE
-            if once or event.outcome is Outcome.CANCELLED or request.sends >= self.settings.max_attempts:
+            late = event.outcome is Outcome.CANCELLED and not self.timely(request, node)
+            if once or late or request.sends >= self.settings.max_attempts:
                 self.give_up(request)
             self.doubtful.append(request)
         self.forget(request)
 
-    def patience(self, request: Request, node: Node) -> float:
-        return max(request.kind.aim, OVERDUE * self.answer_time(request, node))
+    def patience(self, request: Request, node: Node, sent: float) -> float:
+        """How long an attempt may be out, by its node's own record: its aim at least, or a part of that where
+        one that was sent later is answered already, as nodes take requests in turn."""
+        least = request.kind.aim * (LOST if node.latest > sent else 1.0)
+        return max(least, OVERDUE * self.answer_time(request, node))
 
     def call_off_overdue(self, request: Request) -> None:
-        """An attempt past its aim and its node's own record gives its slot back. Guards against lost answers
-        and hanging nodes. Harms where a node turns slow at once."""
-        if self.settings.cancel and request.kind.repeat is not Repeat.ONCE:
-            for attempt, (node, sent) in request.out.items():
-                if sent + self.patience(request, node) <= self.now:
-                    self.actions.append(api.Cancel(request.id, attempt))
-
-    def judge_node(self, node: Node, event: Ended, request: Request) -> None:
-        """Bound the node's depth by its own latency: gently up while short, down at once when it fails."""
+        """An attempt past its patience gives its slot back. Guards against lost answers and hanging nodes.
+        Harms where a node turns slow at once. One that must not run again fails by this: it goes only where
+        its answer seems lost, and past its aim."""
+        once = request.kind.repeat is Repeat.ONCE
+        for attempt, (node, sent) in request.out.items() if self.settings.cancel else ():
+            due = sent + self.patience(request, node, sent)
+            if once:
+                due = max(due, sent + request.kind.aim) if node.latest > sent else self.now + request.kind.aim
+            if due <= self.now:
+                self.actions.append(api.Cancel(request.id, attempt))
+            elif due < request.deadline:
+                self.agenda.add(due, request)
+
+    def judge_node(self, node: Node, event: Ended, request: Request, sent: float) -> None:
+        """Bound the node's depth by its own latency: gently up while short, down at once when it fails. Where
+        one that was sent later is answered already, an answer was lost, and the node has not failed."""
         if event.outcome is Outcome.SERVED:
+            node.latest = max(node.latest, sent)
             gap, node.answered, node.failures = min(1.0, self.now - node.answered), self.now, 0
             self.tell_service_from_queue(node, event.spent, request.units, max(GAIN, gap / 2))
             node.done_units += request.units
@@ -329,7 +362,9 @@
                 node.depth = max(1.0, node.depth - 0.5 / node.depth)
             elif sum(node.out) + 1 >= int(node.depth):
                 node.depth = min(NODE_CAP, node.depth + 1 / node.depth)
-        elif event.outcome in (Outcome.FULL, Outcome.NO_CONNECTION) or event.spent >= request.kind.aim:
+        elif event.outcome in (Outcome.FULL, Outcome.NO_CONNECTION) or (
+            event.spent >= request.kind.aim and node.latest <= sent
+        ):
             node.depth, node.failures = max(1.0, node.depth / 2), node.failures + 1
             if node.failures > 1:  # in a row: not a lost answer but a slow or silent node
                 waited = max(node.queued, event.spent - node.pace * request.units)
--- a/cleatyoke/sftp/boxes.py
+++ b/cleatyoke/sftp/boxes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, replace
 
 from cleatyoke.api import Outcome
+from cleatyoke.core import Ending
 from cleatyoke.directory import Directory
 from cleatyoke.sftp.packets import (
     VERSION,
@@ -131,7 +132,7 @@
         for node in list(self.idle):
             self.drop(node)
 
-    async def attempt(self, node: int, command: Command) -> tuple[Outcome, Packet | None]:
+    async def attempt(self, node: int, command: Command) -> Ending[Packet]:
         """One conversation; once a byte of the command may be written, a break may mean that it ran."""
         line, began, done = None, False, False
         try:
@@ -142,17 +143,17 @@
             reply = await converse(line, command)
             done = True
         except NotServing:
-            return Outcome.NOT_SENT, None
+            return Ending(Outcome.NOT_SENT)
         except NeverBegun:
-            return Outcome.NO_CONNECTION, None
+            return Ending(Outcome.NO_CONNECTION)
         except (OSError, EOFError, ValueError):
-            return Outcome.RESET if began else Outcome.NO_CONNECTION, None
+            return Ending(Outcome.RESET if began else Outcome.NO_CONNECTION)
         finally:
             if line and not (done and self.put_back(node, line)):
                 line.abort()  # nothing of a given-up attempt stays open while the next goes out
         if isinstance(reply, Status) and reply.code == Code.SSH_FX_FAILURE:
-            return Outcome.ERROR, None
-        return Outcome.SERVED, reply  # any other status is the box's answer, and it is the client's
+            return Ending(Outcome.ERROR)
+        return Ending(Outcome.SERVED, reply)  # any other status is the box's answer, and it is the client's
 
     async def connect(self, node: int, fresh: bool) -> Line:
         """A connection that has said its version. A change has a fresh one: on one that was idle, a break
--- a/cleatyoke/simhost.py
+++ b/cleatyoke/simhost.py
@@ -67,6 +67,7 @@
             outcome=OUTCOMES[event["Disposition"]],
             spent=event["SpentS"],
             settled=bool(event.get("Settled")),
+            elsewhere=float(event.get("OthersGot") or 0.0),
         )
     if kind == "BELL":
         return api.Woken(event["Ref"])
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -46,6 +46,7 @@
         self.hold_until, self.failures = 0.0, 0  # nothing is sent before; ends without an answer in a row
         self.used, self.wake_at = 0.0, math.inf  # the last send to it, and the next look that is due
         self.done_units = 0.0
+        self.latest = 0.0  # when the last sent of the attempts was sent that are answered
 
 
 class Store:
@@ -64,6 +65,7 @@
 
     def __init__(self, now: float, reserve: float) -> None:
         self.reserve, self.limit = Store(reserve, now), Store(0.0, now)
+        self.others: dict[int, tuple[float, float]] = {}  # cell: units a second by other hosts, when told
         self.due: defaultdict[int, float] = defaultdict(float)  # second of arrival: units still due in full
 
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -4,7 +4,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Outcome
-from cleatyoke.rules import MARGIN, Policy
+from cleatyoke.rules import LOST, MARGIN, Policy
 from tests.host import Host, entry, settings
 
 
@@ -27,9 +27,11 @@
 
 def test_a_held_request_wakes_its_host_once_when_it_turns_late() -> None:
     host = busy_host(10.0)
-    (wake,) = wakes(host.policy.step(10.0, [host.arrival("a", hosts=8)]))
-    assert wake.after == pytest.approx(0.5 - host.policy.nodes[1].queued)
-    assert host.policy.step(10.0 + wake.after, [api.Woken(0)])[0] == api.Refuse("a")
+    assert wakes(host.policy.step(10.0, [host.arrival("a", hosts=8)])) == [], "a look comes before"
+    looked = 10.0 + LOST * 0.5
+    (wake,) = wakes(host.policy.step(looked, [api.Woken(0)]))
+    assert looked + wake.after == pytest.approx(10.5 - host.policy.nodes[1].queued)
+    assert host.policy.step(looked + wake.after, [api.Woken(0)])[0] == api.Refuse("a")
 
 
 def test_a_bell_a_trifle_early_is_set_again() -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -4,6 +4,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Outcome, Repeat, Scope
+from cleatyoke.rules import LOST
 from tests.host import Host, class_spec, entry, plan_spec, settings
 
 ONCE = class_spec(repeat=Repeat.ONCE)
@@ -335,3 +336,47 @@
         host.end(f"r{number}", Outcome.CANCELLED, spent=0.6)
         queued.append(node.queued)
     assert queued[0] == host.policy.queue_aim / 2 and queued[1] > 2 * queued[0] and queued[2] > queued[1]
+
+
+def lost_answer_host(repeat: api.Repeat) -> Host:
+    """``a`` is out at a node that has answered ``b``, which was sent later."""
+    host = Host(settings([class_spec(repeat=repeat)], [plan_spec(rate=80.0, reserve=80.0)]), [entry(1, 1)])
+    host.ask("a")
+    host.step(at=host.now + 0.01)
+    host.ask("b")
+    host.step(at=host.now + 0.01)
+    host.end("b", Outcome.SERVED, spent=0.01)
+    return host
+
+
+def test_a_read_whose_answer_is_lost_is_called_off_in_time_for_another_attempt() -> None:
+    host = lost_answer_host(api.Repeat.FREE)
+    depth = host.policy.nodes[1].depth
+    assert api.Cancel("a", 0) in host.step(at=host.now + LOST * 0.5)
+    host.end("a", Outcome.CANCELLED, spent=0.5)
+    assert host.policy.nodes[1].depth == depth, "a lost answer is no failure of its node"
+    assert host.log[-1] == api.Send("a", 1)
+
+
+def test_a_write_whose_answer_is_lost_gives_its_slot_back_past_its_aim_and_is_not_sent_again() -> None:
+    host = lost_answer_host(api.Repeat.ONCE)
+    assert host.step(at=host.now + LOST * 0.5) == []
+    assert api.Cancel("a", 0) in host.step(at=host.now + 0.5)
+    host.end("a", Outcome.CANCELLED, spent=0.8)
+    assert host.log[-1] == api.Fail("a")
+
+
+def test_a_host_has_what_the_others_leave_of_a_reserve_as_nodes_tell() -> None:
+    def sure(tells: bool, elsewhere: float) -> float:
+        """The part of a reserve of 8 units a second that one of two hosts takes for its own in the end."""
+        host = Host(settings(plans=[plan_spec(reserve=8.0)], tells_others=tells), [entry(1, 1)])
+        for number in range(40):
+            host.ask(f"r{number}", hosts=2)
+            host.step(at=host.now + 0.1)
+            host.end(f"r{number}", Outcome.SERVED, spent=0.1, elsewhere=elsewhere)
+        return host.policy.reserve_here(1, 8.0, 2)
+
+    assert sure(False, 0.0) == 4.0
+    assert 7.5 < sure(True, 0.0) <= 8.0  # the other one is idle
+    assert 5.5 < sure(True, 0.2) < 6.5  # it takes two a second
+    assert sure(True, 2.0) == 4.0  # it takes more than its part: an even one is this host's
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -19,7 +19,7 @@
 from cleatyoke import directory as directory_module
 from cleatyoke.api import NodeState, Outcome
 from cleatyoke.config import Address, BadConfig, read_config, read_fronts
-from cleatyoke.core import Core
+from cleatyoke.core import Core, Ending
 from cleatyoke.directory import Directory
 from cleatyoke.net import boxes as boxes_module
 from cleatyoke.net import server as server_module
@@ -329,7 +329,7 @@
             return line
 
         with mock.patch.object(self.boxes, "dial", late):
-            outcome, _ = await self.boxes.attempt(1, ask("t"), 1.0)
+            outcome = (await self.boxes.attempt(1, ask("t"), 1.0)).outcome
         self.assertEqual((outcome, self.box.counts["t"]), (Outcome.NOT_SENT, 0))
 
     async def test_a_refused_connection_never_ran_and_pools_of_a_draining_box_are_closed(self) -> None:
@@ -343,7 +343,7 @@
         await self.until(lambda: self.box.open == 0)
         self.box.stop()
         listed(self.directory, instance("s-a", self.box.port))
-        outcome, _ = await self.boxes.attempt(1, ask("t"), 1.0)
+        outcome = (await self.boxes.attempt(1, ask("t"), 1.0)).outcome
         self.assertEqual(outcome, Outcome.NO_CONNECTION)
 
     async def test_a_spoilt_answer_is_a_reset_that_may_have_run_and_ends_its_connection(self) -> None:
@@ -367,7 +367,7 @@
         with mock.patch.object(boxes_module, "GAP", 0.05):
             for place, text in enumerate(spoilt):
                 found = await self.boxes.attempt(1, ask(str(place), "PUT", b"scan"), 1.0)
-                self.assertEqual(found, (Outcome.RESET, None), text[:80])
+                self.assertEqual(found, Ending(Outcome.RESET), text[:80])
         self.assertEqual(set(self.box.counts.values()), {1})
         self.assertEqual((self.box.accepted, self.boxes.open), (len(spoilt), 0))
 
@@ -384,9 +384,9 @@
 
         await self.begin(script)
         with mock.patch.object(boxes_module, "REST", 0.0):
-            for place, text in enumerate(cases):
+            for place in range(len(cases)):
                 found = await self.boxes.attempt(1, ask(str(place)), 1.0)
-                self.assertEqual(found, (Outcome.SERVED, b"tile" * (70_000 if place == 2 else 1)), text[:80])
+                self.assertEqual(found, Ending(Outcome.SERVED, b"tile" * (70_000 if place == 2 else 1)))
                 self.assertEqual(self.boxes.open, int(place < 3), "what brought more is not used again")
 
     async def test_bytes_that_come_while_a_connection_is_pooled_are_not_the_next_answer(self) -> None:
@@ -395,7 +395,8 @@
 
         await self.begin(script)
         for trace, read in (("first", True), ("second", False), ("third", True)):
-            self.assertEqual(await self.boxes.attempt(1, ask(trace), 1.0), (Outcome.SERVED, trace.encode()))
+            found = await self.boxes.attempt(1, ask(trace), 1.0)
+            self.assertEqual(found, Ending(Outcome.SERVED, trace.encode()))
             (line,) = self.boxes.pools[1].idle
             line.rested_at = 0.0
             (writer,) = self.box.writers
