Keep clients' connections after SIGTERM, and answer all within the notice that is given

Lines: server.py handle (leaving), __main__.py LINGER and LAST. Now the notice is reckoned from GiveUpS (the longest, 3 s at the most, and 0.7 s); what is taken meanwhile is answered within it, whatever its own deadline; accepting goes on until twice the longest aim before its end.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -24,8 +24,9 @@
 from cleatyoke.vrrp import Carrier
 
 FIRST_WORD = 1.0  # seconds for discovery's first word, after which the old list has to do
-LINGER = 0.85  # seconds after SIGTERM in which everything is still accepted
-LAST = 2.5  # seconds more in which what was taken is answered
+LINGER = 0.75  # seconds after SIGTERM in which everything is accepted at the least
+ANSWERS = 2.0  # times the longest aim: what is kept for what is taken last
+EXIT = 0.15  # seconds kept for the exit itself
 log = structlog.get_logger()
 
 
@@ -61,7 +62,7 @@
             return cls(front)
 
         async def changed(master: bool) -> None:
-            await (front.open() if master else front.close(LAST))
+            await (front.open() if master else front.close(config.sftp.deadline if config.sftp else 0.0))
 
         carrier = Carrier(config.vrrp, changed)
         await carrier.start()
@@ -116,11 +117,21 @@
     log.info("ready", name=config.name, listen=front.address, nodes=len(directory.boxes))
     await stop.wait()
     log.info("leaving", open=len(core.calls))
-    front.leave()
-    await asyncio.sleep(LINGER)
+    last = config.notice() - EXIT
+    front.leave(last)
+    linger = max(LINGER, last - ANSWERS * max(kind.aim for kind in config.settings.classes))
+
+    async def close_files() -> None:
+        await asyncio.sleep(LINGER)
+        await files.close(last - LINGER)
+
+    async def close_front() -> None:
+        await asyncio.sleep(linger)
+        await front.close()
+
     try:
-        async with asyncio.timeout(LAST):
-            await asyncio.gather(front.close(), files.close(LAST))
+        async with asyncio.timeout(last):
+            await asyncio.gather(close_front(), close_files())
     except TimeoutError:
         log.warning("left_unanswered", open=len(core.calls))
     discovery.stop()
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -103,6 +103,10 @@
     sftp: SftpFront | None = None
     vrrp: VrrpPeers | None = None
 
+    def notice(self) -> float:
+        """Seconds from SIGTERM to SIGKILL: the longest deadline, 3 s at the most, and 0.7 s more."""
+        return min(3.0, max(self.give_up)) + 0.7
+
     def reload(self, new: Config) -> tuple[bool, list[str]]:
         """Take what a reload takes: the address of discovery, where the file names a new one. It wins
         over RELAY_DISCOVERY, as a running process cannot be given another. Returns whether it moved, and the
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -30,7 +30,7 @@
 
 IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
 REST = 0.02  # seconds that a connection rests after an answer, so that what comes behind that is noticed
-GAP = 0.1  # seconds for the head of an answer, once it has begun, and between the pieces of its body
+GAP = 0.05  # seconds for the head of an answer, once it has begun, and between the pieces of its body
 
 
 class Line(asyncio.Protocol):
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -105,7 +106,7 @@
     def __init__(self, config: Config, core: Core, boxes: Boxes, ready: Callable[[], bool]) -> None:
         self.config, self.core, self.boxes, self.ready = config, core, boxes, ready
         self.most_clients = config.shares.clients
-        self.leaving = False
+        self.last_answer, self.closing = math.inf, False
         self.server = web.Server(
             self.handle, request_factory=self.make_request, handler_cancellation=True
         )  # a client that closes is withdrawn
@@ -171,7 +172,7 @@
             response = await self.answer(request, client)
         finally:
             client.give_back()
-        if self.leaving or not request.content.is_eof() or client.crowded():
+        if self.closing or not request.content.is_eof() or client.crowded():
             response.force_close()  # Connection: close
         return response
 
@@ -205,7 +206,7 @@
             return web.Response(status=400, text="X-Trace-Id: taken\n")
         self.taken.add(ask.trace)
         try:
-            return await self.schedule(ask, came + ask.wait)
+            return await self.schedule(ask, min(came + ask.wait, self.last_answer))
         finally:
             self.over.append((self.core.now() + REMEMBERED, ask.trace))
 
@@ -235,12 +236,14 @@
             case Failed():
                 return web.Response(status=502)
 
-    def leave(self) -> None:
-        """From now on each answer says that its connection ends."""
-        self.leaving = True
+    def leave(self, last: float) -> None:
+        """The process is to end: what is taken from now on is answered within so many seconds. Connections
+        are kept while it still serves, as their clients could come back by no other."""
+        self.last_answer = self.core.now() + last
 
     async def close(self) -> None:
         """No new connections, no idle ones; then all that was taken is answered."""
+        self.closing = True  # from now on each answer says that its connection ends
         if self.listener:
             self.listener.close()
         self.server.pre_shutdown()
