Amid a crowd of kept connections, end each with its answer

A probe once a second: 164 clients of 164, all idle, 36 of them silent; 50 to 90 answers a second where 150 were asked. Cause: clients asked once and kept their connections; they may open a third of the descriptors (128), and after that no new request found a connection, while server.py held idle ones for 2.1 s. Evicting idle ones on a newcomer did not help, as none could come. Ruled out: waits for room (none), loop lag (1 ms), CPU (0.5 of a core). Now, beyond a sixth of the descriptors held by clients that spoke, each answer says 'Connection: close'.

--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -72,6 +72,7 @@
     most one to a box, so as many are kept for boxes as for clients, and no attempt wants for one."""
 
     clients: int
+    crowd: int  # clients' connections beyond which each ends with its answer: half of what clients open
     boxes: int
     sessions: int  # of the file front: a client's connection, one at work and an idle one to a box
 
@@ -79,7 +80,7 @@
     def of(cls, sockets: int, files: bool) -> Shares:
         sessions = min(MOST_SESSIONS, (sockets - SPARE_SOCKETS) // 12) if files else 0
         half = (sockets - SPARE_SOCKETS - 3 * sessions) // 2
-        return cls(half, half, sessions)
+        return cls(half, sockets // 6, half, sessions)
 
 
 @dataclass(slots=True)
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -172,7 +172,10 @@
             response = await self.answer(request, client)
         finally:
             client.give_back()
-        if self.closing or not request.content.is_eof() or client.crowded():
+        # Guards against clients that ask once and keep their connection for good: they would soon hold all
+        # that clients can open, and the next find none. A close that the answer tells of crosses nothing.
+        crowded = len(self.clients) - len(self.silent) > self.config.shares.crowd
+        if crowded or self.closing or not request.content.is_eof() or client.crowded():
             response.force_close()  # Connection: close
         return response
 
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -201,6 +202,24 @@
         for _, writer in [*silent, *more]:
             writer.close()
 
+    async def test_amid_a_crowd_that_keeps_its_connections_each_ends_with_its_answer(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer()
+
+        await self.begin(script)
+        self.front.config.shares = replace(self.front.config.shares, crowd=2)
+        kept = []
+        for trace in "abc":
+            kept.append(await self.raw(self.head(trace)))
+            self.assertIn(b" 200 ", await kept[-1][0].readuntil(b"tile"))
+        self.assertEqual(await kept[2][0].read(), b"")
+        await self.until(lambda: len(self.front.clients) == 2)
+        kept[0][1].write(self.head("d"))
+        self.assertIn(b" 200 ", await kept[0][0].readuntil(b"tile"))  # those before it are kept
+        self.assertEqual(len(self.front.clients), 2)
+        for _, writer in kept:
+            writer.close()
+
     async def test_a_flood_makes_room_by_none_whose_request_may_be_on_its_way(self) -> None:
         async def script(trace: str) -> bytes:
             return answer()
