Count only idle connections as a crowd, and take one that ends as it comes up for unsent

Cause: server.py handle closed each connection after its answer where more than a sixth of the descriptors were held by busy ones too, so that a storm of repeats opened new connections all the time. Also: boxes.py exchange asserted a transport; one that had ended in the turn in which it came up would have been an attempt_fault that may have run, though not a byte was written (by reading; none in the logs).

--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -72,7 +72,7 @@
     most one to a box, so as many are kept for boxes as for clients, and no attempt wants for one."""
 
     clients: int
-    crowd: int  # clients' connections beyond which each ends with its answer: half of what clients open
+    crowd: int  # idle ones beyond which each ends with its answer: half of what clients open
     boxes: int
     sessions: int  # of the file front: a client's connection, one at work and an idle one to a box
 
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -100,7 +100,8 @@
         return not unread(self.transport)
 
     async def exchange(self, request: bytes) -> Answer:
-        assert self.transport
+        if self.transport is None or self.transport.is_closing():
+            raise ConnectionError("it ended before the first byte")  # so nothing ran
         self.reader, self.answer = AnswerReader(), self.loop.create_future()
         self.transport.write(request)
         try:
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -174,7 +174,8 @@
             client.give_back()
         # Guards against clients that ask once and keep their connection for good: they would soon hold all
         # that clients can open, and the next find none. A close that the answer tells of crosses nothing.
-        crowded = len(self.clients) - len(self.silent) > self.config.shares.crowd
+        # Only idle ones count: amid a storm of repeats, new connections would cost what the answers need.
+        crowded = len(self.idle) - len(self.silent) > self.config.shares.crowd
         if crowded or self.closing or not request.content.is_eof() or client.crowded():
             response.force_close()  # Connection: close
         return response
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -370,6 +370,23 @@
         outcome = (await self.boxes.attempt(1, ask("t"), 1.0)).outcome
         self.assertEqual(outcome, Outcome.NO_CONNECTION)
 
+    async def test_a_connection_that_ends_as_it_comes_up_never_ran_anything(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer()
+
+        await self.begin(script)
+        real = self.boxes.dial
+
+        async def short(pool: Any) -> Any:
+            line = await real(pool)
+            line.abort()
+            return line
+
+        with mock.patch.object(self.boxes, "dial", short):
+            found = await self.boxes.attempt(1, ask("t", "PUT", b"scan"), 1.0)
+        self.assertEqual(found, Ending(Outcome.NO_CONNECTION))
+        self.assertEqual((self.box.counts["t"], self.boxes.open), (0, 0))
+
     async def test_a_spoilt_answer_is_a_reset_that_may_have_run_and_ends_its_connection(self) -> None:
         good = answer()
         spoilt = [
