Fill a limit's store from when the process began, not from a volume's first request

Ruled out: box queues (median answer 45 ms for an aim of 499 ms), slots (1 of 361), CPU (0.6 of a core), connections. Cause: `within_limit_at` drew on `Volume.limit`, which `Volume.__init__` made empty at the volume's first request on this front. With 40 fronts and many volumes each, most first requests found 0 units and 3.7 a second against an aim of 0.5 s. One front learns it once; a fleet pays it for every volume, host and restart. Test: a store that fills from the process's beginning, to its part at most; it fails with the old line.

--- a/cleatyoke/__init__.py
+++ b/cleatyoke/__init__.py
@@ -1,1 +1,5 @@
 """cleatyoke: the decisions of a gateway that orders and paces the I/O of many volumes."""
+
+import time
+
+BEGAN = time.time()  # before the other imports: no other life of this front sends anything from here on
--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -11,7 +11,7 @@
 
 import structlog
 
-from cleatyoke import api
+from cleatyoke import BEGAN, api
 from cleatyoke.config import BadConfig, Config, read_config
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
@@ -81,6 +81,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    config.settings.quiet_since = BEGAN
     core, directory = Core(config.settings), Directory(config.zones)
     boxes = Boxes(directory, config.dial_timeout, config.idle_close, config.shares.boxes)
     discovery = Discovery(config.discovery, directory, core.tell)
--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -74,6 +74,7 @@
     weight: float
     limit: float
     limit_burst: float
+    limit_slack: float = 0.0  # how far below nothing the limit's store may go
 
 
 @dataclass(slots=True)
@@ -106,6 +107,7 @@
     mean: float
     within_share: float
     tells_others: bool = False  # nodes say what they served a volume through other hosts
+    quiet_since: float | None = None  # from then on this host has sent nothing; None: from its first step
     retry_after: float = 0.0  # longest time that clients heed; 0: they are not told when to come back
 
 
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -112,7 +112,7 @@
         """Take what a reload takes: the address of discovery, where the file names a new one. It wins
         over RELAY_DISCOVERY, as a running process cannot be given another. Returns whether it moved, and the
         changed keys that wait for the next start; ``known`` and ``seed`` count at a start only."""
-        new.settings.seed = self.settings.seed
+        new.settings.seed, new.settings.quiet_since = self.settings.seed, self.settings.quiet_since
         kept = ("name", "listen", "shares", "settings", "classes", "plans", "dial_timeout", "idle_close",
                 "sftp", "vrrp")  # fmt: skip
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
@@ -227,6 +227,7 @@
             weight=plan.number("Proportion"),
             limit=plan.number("Limit", 0.0),
             limit_burst=plan.number("LimitBurst", 0.0),
+            limit_slack=plan.number("CapSlack", 0.0),
         )
         for plan in root.tables("Contracts")
     ]
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -27,6 +27,7 @@
 GAIN = 0.1  # weight of one answer in a running mean, more where answers are rare
 OTHERS = 1.0  # seconds over which the use of volumes through other hosts is averaged
 SPARE_MOST = 64.0  # times its start that a node's spare rate may reach: all that a volume asks
+SLACK_SHARE = 0.5  # of the slack of a limit, which hosts that start may use at once
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
 
@@ -59,7 +60,7 @@
         self.agenda = Agenda()
         self.touched: dict[int, Node] = {}  # nodes that may have something new to choose
         self.doubtful: list[Request] = []  # if still held after this step, is there any use in waiting?
-        self.interval_at = self.born = self.bell_at = math.inf
+        self.interval_at = self.born = self.bell_at = self.quiet = math.inf
         self.now, self.dice = 0.0, random.Random(settings.seed)
         self.actions: list[api.Action] = []
         if settings.must_watch:
@@ -69,6 +70,8 @@
         self.now, self.actions = now, []
         if self.born == math.inf:
             self.born = self.interval_at = now
+            since = self.settings.quiet_since
+            self.quiet = now if since is None else min(now, since)
         if now >= self.interval_at + INTERVAL:
             self.control()
         for event in events:
@@ -264,7 +267,11 @@
         plan, hosts = self.settings.plans[event.plan], int(clamp(event.hosts, 1, self.hosts))
         part = self.reserve_here(event.volume, plan.reserve, hosts)
         ceiling = part + self.settings.largest if part else 0.0
-        volume = self.volumes.setdefault(event.volume, Volume(self.now, ceiling))
+        if event.volume not in self.volumes:
+            since = max(self.quiet, self.now - IDLE / 2)  # since when none is used
+            allowed = Store(plan.limit_slack * SLACK_SHARE / hosts, since)
+            self.volumes[event.volume] = Volume(Store(ceiling, self.now), allowed)
+        volume = self.volumes[event.volume]
         volume.reserve.fill(part, ceiling, self.now)
         request = Request(event, self.settings.classes[event.class_index], hosts, volume, self.now)
         self.requests[request.id] = request
@@ -443,7 +450,8 @@
         return self.now if len(self.extras) + 1 <= allowed else oldest + safety.extra_window
 
     def within_limit_at(self, request: Request) -> float:
-        """Limit: this host's even part of the store, empty at first as an earlier life may have used it."""
+        """Limit: this host's even part of the store. An earlier life may have used it all, so it starts with
+        a part of the slack only, and fills from when this process, and so no other life of it, can send."""
         plan = self.settings.plans[request.ask.plan]
         if not plan.limit or request.sends:
             return self.now
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -63,8 +63,8 @@
 class Volume:
     """This host's part of a volume's reserve and limit."""
 
-    def __init__(self, now: float, reserve: float) -> None:
-        self.reserve, self.limit = Store(reserve, now), Store(0.0, now)
+    def __init__(self, reserve: Store, limit: Store) -> None:
+        self.reserve, self.limit = reserve, limit
         self.others: dict[int, tuple[float, float]] = {}  # cell: units a second by other hosts, when told
         self.due: defaultdict[int, float] = defaultdict(float)  # second of arrival: units still due in full
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -326,6 +326,21 @@
     assert host.sent() == ["a", "a"]
 
 
+def test_a_limits_store_fills_from_when_the_process_began() -> None:
+    """Guards reserves against an empty store at each start, once for every volume and host of the fleet."""
+    limited = plan_spec(limit=4.0, limit_burst=12.0, limit_slack=4.0)
+    config = settings([class_spec(aim=2.0), class_spec()], [limited], quiet_since=99.0)
+    host = Host(config, [entry(1, 1)])
+    host.step(host.arrival("a", units=2.0, hosts=2), host.arrival("b", units=2.0, hosts=2))
+    assert host.sent() == ["a"], "a second's filling and half of the slack, by two hosts"
+    host.run_until(100.55)
+    assert host.sent() == ["a", "b"]
+    host.run_until(103.0)
+    for name, units in (("c", 6.0), ("d", 2.0)):
+        host.step(host.arrival(name, units=units, hosts=2, volume=2))
+    assert host.sent() == ["a", "b", "c"], "a volume that comes later finds its part, and never more"
+
+
 def test_failures_in_a_row_count_as_time_waited_and_a_lost_answer_does_not() -> None:
     host = Host(settings(), [entry(1, 1)])
     node = host.policy.nodes[1]
