Size a host's part of a cold node by its warm usual rate and the room load reports show

Ruled out: boxes' queues (median 70 ms), slots, limit, list news (all fronts told). Cause, all in rules.py: `control` averaged `usual` over outage and cold time too, so that being held back lowered what was allowed next; a host restarted itself knew no rate at all and had 6 units by 40 hosts; `bears_at` took the fleet's usual rate for a node's whole power, though it was under a half; with a ceiling of 0 the few requests of one front came in bunches and found debt. Change: only warm times count for `usual`; an unknown rate is the mean one; load reports (decoded once, also in the simulator's host) give the mean part of the power in use, by all fronts, and its inverse, 2 at most, is the room; where there is room, as much of a window's part is saved up. Reports are stale by up to seconds: the mean moves by a fortieth a report, starts at full, and a cold node's own high reports only lower the room. Tests: room by reports and its bound, the mean rate, cold times left out; each fails with its line taken out.

--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -148,7 +148,8 @@
 @dataclass(slots=True)
 class Ended:
     """Event: an attempt is over; ``settled`` when its request is too. ``elsewhere``: the units that the node
-    says it has served the volume through other hosts since its last answer to this one about it."""
+    says it has served the volume through other hosts since its last answer to this one about it; ``busy``:
+    the part of the node's power that its load report says is in use, by all hosts."""
 
     request: str
     attempt: int
@@ -157,6 +158,7 @@
     spent: float
     settled: bool
     elsewhere: float = 0.0
+    busy: float | None = None
 
 
 @dataclass(slots=True)
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -26,11 +26,13 @@
 
 @dataclass(slots=True)
 class Ending(Generic[T]):
-    """How an attempt ended, its answer, and the units of its volume that the node served by other hosts."""
+    """How an attempt ended, its answer, and the units of its volume that the node served by other hosts
+    and the part of its power that it reports in use."""
 
     outcome: api.Outcome
     value: T | None = None
     elsewhere: float = 0.0
+    busy: float | None = None
 
 
 Attempt = Callable[[int], Awaitable[Ending[T]]]  # of the node
@@ -172,5 +174,5 @@
     def end(
         self, ask: api.Arrival, number: int, node: int, ending: Ending[T], spent: float, settled: bool
     ) -> None:
-        elsewhere = ending.elsewhere
-        self.tell(api.Ended(ask.request, number, node, ending.outcome, spent, settled, elsewhere))
+        told = ending.elsewhere, ending.busy
+        self.tell(api.Ended(ask.request, number, node, ending.outcome, spent, settled, *told))
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -22,6 +22,7 @@
     AnswerReader,
     Ask,
     SpoiltAnswer,
+    decode_busy,
     decode_elsewhere,
     decode_outcome,
     encode_attempt,
@@ -170,7 +171,8 @@
             outcome = decode_outcome(answer.status, answer.headers)
             if outcome is not Outcome.SERVED:
                 return Ending(outcome)
-            return Ending(outcome, answer.body, decode_elsewhere(answer.headers))
+            elsewhere, busy = decode_elsewhere(answer.headers), decode_busy(answer.headers)
+            return Ending(outcome, answer.body, elsewhere, busy)
         except (OSError, TimeoutError):
             return Ending(Outcome.NO_CONNECTION)
         finally:
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -27,6 +27,7 @@
 MOST_HEAD = 16 * 1024  # bytes of the head of a box's answer
 MOST_EARLY = 8  # 1xx answers in front of one
 PLAIN = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
+UTIL = re.compile(r"\b(?:util|cpu) *= *([0-9]{1,6}(?:\.[0-9]{1,9})?)\b(?!\.)")  # in a load report
 VISIBLE = re.compile(r"[!-~]+")
 FIELDS = ("X-Trace-Id", "X-Qos", "X-Plan", "X-Expires-In-Ms", "X-IO", "Content-Length")
 STATES = {
@@ -247,6 +248,12 @@
     return float(text) if PLAIN.fullmatch(text) else 0.0
 
 
+def decode_busy(headers: Mapping[str, str]) -> float | None:
+    """The part of its power that a box reports in use, by all fronts; None where no report can be read."""
+    found = UTIL.search(headers.get("Endpoint-Load-Metrics", ""))
+    return min(1.0, float(found[1])) if found else None
+
+
 def decode_listing(text: str | bytes) -> Listing:
     try:
         return read_listing(json.loads(text))
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -27,6 +27,7 @@
 GAIN = 0.1  # weight of one answer in a running mean, more where answers are rare
 OTHERS = 1.0  # seconds over which the use of volumes through other hosts is averaged
 SPARE_MOST = 64.0  # times its start that a node's spare rate may reach: all that a volume asks
+ROOM_MOST = 2.0  # times its usual rate that a host may count on at a cold node, however idle the nodes are
 SLACK_SHARE = 0.5  # of the slack of a limit, which hosts that start may use at once
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
@@ -41,6 +42,7 @@
         weights = sum(plan.weight for plan in settings.plans) / count or 1.0
         self.spare = sum(plan.rate for plan in settings.plans) / weights or 1.0  # also the least
         self.dearest = max(self.worths) * max(plan.worth for plan in settings.plans) * settings.within_share
+        self.busy = 1.0  # mean part of the nodes' power in use, as they report; at first unknown
         self.pace = 0.0  # seconds of service a unit at any node: what a new one is taken to need
         self.requests: dict[str, Request] = {}
         self.held: dict[int, list[Request]] = {}  # cell: requests waiting for it; -1: for any
@@ -135,8 +137,9 @@
             self.allocate(index, bound * total)
         span = max(self.now - began, min(IDLE, self.now - self.born), MARGIN)
         for node in self.holder.values():
-            kept = self.usual.get(node.cell, 0.0) * (1 - (self.now - began) / span)
-            self.usual[node.cell] = kept + node.done_units / span
+            if node.up_since <= 0 or self.now - node.up_since >= self.safety.ramp:  # warm
+                kept = self.usual.get(node.cell, 0.0) * (1 - (self.now - began) / span)
+                self.usual[node.cell] = kept + node.done_units / span
             node.done_units = 0.0
             node.shares = {volume: store for volume, store in node.shares.items() if volume in self.volumes}
         self.waited, self.answered = [0.0] * len(self.bounds), [0] * len(self.bounds)
@@ -314,6 +317,8 @@
         node, sent = request.out.pop(event.attempt)
         node.out[request.index] -= 1
         self.judge_node(node, event, request, sent)
+        if event.busy is not None:
+            self.busy += GAIN / 4 * (clamp(event.busy, 0.0, 1.0) - self.busy)
         if event.outcome is Outcome.SERVED:
             self.hear_of_others(request, node, event.elsewhere)
         self.touch(node.cell)
@@ -460,15 +465,19 @@
         return self.now + max(0.0, request.units - store.level) / rate
 
     def bears_at(self, node: Node) -> float:
-        """Cold nodes: in debt for each send until this host's part of what the node bears has paid it off: by
-        its usual rate there, as all hosts' add up to a warm node's, or an even part of the stated units."""
+        """Cold nodes: in debt for each send until this host's part of what the node bears has paid it off:
+        an even part of the stated units, or by its usual rate there, the mean one where it knows none. All
+        hosts' add up to what a warm node serves, of which load reports tell the part of its power; where they
+        leave room for more, some is saved up, as a host's few requests come in bunches."""
         safety, age = self.safety, self.now - node.up_since
         if node.up_since <= 0 or age >= safety.ramp:
             return self.now
         share = safety.cold_from + (1 - safety.cold_from) * max(0.0, age - safety.tip_after) / safety.ramp
-        usual = self.usual.get(node.cell, 0.0) * share * safety.tip_multiple
+        room = 1 / max(self.busy, 1 / ROOM_MOST)
+        mean = sum(self.usual.values()) / max(1, len(self.usual))
+        usual = self.usual.get(node.cell, mean) * share * safety.tip_multiple * room
         rate = max(usual, self.settings.cold_units / safety.tip_after / self.hosts, 1e-9)
-        node.cold.fill(rate, 0.0, self.now)
+        node.cold.fill(rate, usual * safety.tip_after * (1 - 1 / room), self.now)
         return self.now - node.cold.level / rate
 
     def keep_or_give_up(self, request: Request) -> None:
--- a/cleatyoke/simhost.py
+++ b/cleatyoke/simhost.py
@@ -101,6 +101,7 @@
     def __init__(self) -> None:
         self.policies: dict[int, Policy] = {}
         self.lists: dict[int, list[api.NodeEntry]] = {}
+        self.fields: dict[int, list[str]] = {}  # of the load reports that an instance hears
 
     def reply(self, line: str) -> dict[str, Any]:
         """Answer one batch."""
@@ -127,12 +128,16 @@
         if kind == "BORN":
             pending.pop(head, None)
             self.policies[head] = Policy(read_settings(event["Facts"], event["RngSeed"]))
+            self.fields[head] = (event["Facts"].get("Report") or {}).get("Fields") or []
             pending[head] = []
         elif kind == "SHUTDOWN":
             pending.pop(head, None)
             self.policies.pop(head, None)
         elif kind not in UNUSED:
             translated = read_event(kind, event, self.lists)
+            if isinstance(translated, api.Ended) and (row := event.get("HealthInfo")):
+                told = dict(zip(self.fields.get(head, []), row))
+                translated.busy = told.get("cpu")
             if head in self.policies:
                 pending.setdefault(head, []).append(translated)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -236,6 +236,44 @@
     assert cold_sends(host, 1.0) > usual * 0.8
 
 
+def cold_units(busy: float, known: bool = True) -> float:
+    """Units that a host sends to a cold node in its first seconds, where nodes report so much in use."""
+    host = Host(settings(safety={"ramp": 10.0}), [entry(1, 1), entry(2, 2)])
+    for _ in range(20 * 20):  # two units in every 0.05 s, to the other node where this one is to be unknown
+        host.now += 0.05
+        name = f"warm{host.now:.2f}"
+        node = 1 if known else 2
+        host.ask(name, cell=node, units=2.0)
+        if name in host.policy.requests:
+            host.end(name, Outcome.SERVED, node=node, spent=0.02, busy=busy)
+    if not known:
+        host.policy.usual.pop(1, None)
+    host.step(api.NodeList(api.ListKind.CHANGES, [entry(1, 1, up_since=host.now)]))
+    return cold_sends(host, 3.0)
+
+
+def test_load_reports_tell_how_much_more_than_its_usual_part_a_host_may_send_to_a_cold_node() -> None:
+    """Guards a fleet against starving a box that came back: all hosts' usual rates are far from its power."""
+    full, half = cold_units(1.0), cold_units(0.5)
+    assert full * 1.5 <= half <= full * 4
+    assert cold_units(0.01) <= half * 1.2, "idle nodes do not free it altogether"
+
+
+def test_a_host_that_knows_no_rate_at_a_cold_node_takes_its_mean_one() -> None:
+    """Guards hosts that were restarted themselves: they know of no cold node from before."""
+    assert cold_units(0.5, known=False) >= cold_units(0.5) / 3
+
+
+def test_a_cold_time_is_no_usual_one() -> None:
+    host = Host(settings(safety={"ramp": 10.0}), [entry(1, 1)])
+    cold_sends(host, 10.0)
+    usual = host.policy.usual[1]
+    host.step(api.NodeList(api.ListKind.CHANGES, [entry(1, 1, up_since=host.now)]))
+    host.run_until(host.now + 8.0)
+    host.ask("a")
+    assert host.policy.usual[1] >= usual * 0.9
+
+
 def test_a_restart_in_the_list_makes_a_node_cold_again() -> None:
     host = Host(settings(cold_units=2.0), [entry(1, 1)])
     host.step(api.NodeList(api.ListKind.CHANGES, [entry(1, 1, up_since=99.5)]))
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -26,7 +26,7 @@
 from cleatyoke.net import server as server_module
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.discovery import Discovery
-from cleatyoke.net.messages import Ask, read_listing
+from cleatyoke.net.messages import Ask, decode_busy, read_listing
 from cleatyoke.net.server import Front
 from cleatyoke.rules import Policy
 from tests.wire import FACTS, DiscoveryAgent, HttpBox, answer, config, instance, listed
@@ -494,6 +494,16 @@
         self.assertEqual((policy.held, policy.volumes, policy.requests, policy.tries), ({}, {}, {}, {}))
 
 
+class LoadReports(unittest.TestCase):
+    def test_the_part_in_use_is_read_and_what_is_none_is_passed_over(self) -> None:
+        for text, busy in (
+            ("TEXT inflight=7, queue=2, util=0.61", 0.61), ("TEXT waiting=3, cpu=1.25", 1.0), ("", None),
+            ("TEXT cpu=7e9", None), ("TEXT util=-1", None), ("TEXT util=0.1.2", None), ("\x01 queue=", None),
+        ):  # fmt: skip
+            self.assertEqual(decode_busy({"Endpoint-Load-Metrics": text}), busy, text)
+        self.assertIsNone(decode_busy({}))
+
+
 class DiscoveryStory(unittest.IsolatedAsyncioTestCase):
     async def test_a_bad_line_is_skipped_and_the_whole_list_taken(self) -> None:
         whole = {"generation": 7, "reset": True, "instances": [entry("SERVING")]}
