Take the listening socket that the platform hands down in RELAY_ACCEPT_FD

Ruled out: the ops key (the root table lets unknown keys pass). Change: config reads RELAY_ACCEPT_FD (a descriptor number, else the start fails naming it); the listener takes that socket as it is and binds nothing; a descriptor that is no listening TCP socket is left open and refused.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -19,6 +19,7 @@
 from cleatyoke.net.discovery import Discovery
 from cleatyoke.net.messages import BadMessage, read_listing
 from cleatyoke.net.server import Front
+from cleatyoke.net.sockets import NotListening
 from cleatyoke.sftp.boxes import FileBoxes
 from cleatyoke.sftp.front import FileFront
 from cleatyoke.vrrp import Carrier
@@ -115,6 +116,8 @@
     try:
         front.listen()
         files = await FileService.start(config, core, directory)
+    except NotListening as error:
+        raise BadConfig(f"RELAY_ACCEPT_FD: {error}") from error
     except OSError as error:
         raise BadConfig(f"listen: {error}") from error
     gc.collect()
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -103,6 +103,8 @@
     file_discovery: Address  # as the file has it, whatever RELAY_DISCOVERY says
     sftp: SftpFront | None = None
     vrrp: VrrpPeers | None = None
+    accept_fd: int | None = None  # a listening socket handed down by the platform, in place of ``listen``
+    ops: Address | None = None  # the operators' control address
 
     def notice(self) -> float:
         """Seconds from SIGTERM to SIGKILL: the longest deadline, 3 s at the most, and 0.7 s more."""
@@ -113,8 +115,8 @@
         over RELAY_DISCOVERY, as a running process cannot be given another. Returns whether it moved, and the
         changed keys that wait for the next start; ``known`` and ``seed`` count at a start only."""
         new.settings.seed, new.settings.quiet_since = self.settings.seed, self.settings.quiet_since
-        kept = ("name", "listen", "shares", "settings", "classes", "plans", "dial_timeout", "idle_close",
-                "sftp", "vrrp")  # fmt: skip
+        kept = ("name", "listen", "accept_fd", "ops", "shares", "settings", "classes", "plans",
+                "dial_timeout", "idle_close", "sftp", "vrrp")  # fmt: skip
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
         moved = new.file_discovery != self.file_discovery
         self.file_discovery = new.file_discovery
@@ -317,9 +319,19 @@
         idle_close=limits.number("IdleCloseS", 30.0),
         sftp=sftp,
         vrrp=vrrp,
+        accept_fd=read_descriptor(environment.get("RELAY_ACCEPT_FD")),
+        ops=address("RELAY_OPS", "ops") if environment.get("RELAY_OPS") or "ops" in values else None,
     )
 
 
+def read_descriptor(text: str | None) -> int | None:
+    if text is None or text == "":
+        return None
+    if not text.isascii() or not text.isdecimal() or not 0 <= int(text) < 1 << 20:
+        raise BadConfig(f"RELAY_ACCEPT_FD: want a descriptor number, found {text!r}")
+    return int(text)
+
+
 def read_fronts(
     path: Path, classes: Mapping[str, int], plans: Mapping[str, int]
 ) -> tuple[SftpFront | None, VrrpPeers | None]:
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -131,7 +131,9 @@
         )
 
     def listen(self) -> None:
-        self.listener = Listener(self.address.host, self.address.port, self.room, self.admit)
+        self.listener = Listener(
+            self.address.host, self.address.port, self.room, self.admit, self.config.accept_fd
+        )
         self.address = Address(*self.listener.socket.getsockname()[:2])  # where the port was 0
 
     def room(self) -> bool:
--- a/cleatyoke/net/sockets.py
+++ b/cleatyoke/net/sockets.py
@@ -23,6 +23,22 @@
     return bool(look.poll(0))
 
 
+class NotListening(OSError):
+    """A descriptor that was handed down is no listening TCP socket."""
+
+
+def take_listening(descriptor: int) -> socket.socket:
+    """A listening socket that the platform holds and hands to each process, never bound here again."""
+    try:
+        taken = socket.socket(fileno=descriptor)
+    except OSError as error:
+        raise NotListening(f"descriptor {descriptor}: {error.strerror or error}") from error
+    if taken.type != socket.SOCK_STREAM or not taken.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        taken.detach()  # it is not ours to close
+        raise NotListening(f"descriptor {descriptor} is no listening TCP socket")
+    return taken
+
+
 class Listener:
     """Accepts a connection only when there is ``room`` for it; until then the kernel holds it.
 
@@ -30,11 +46,15 @@
     pauses for a second once there are none left."""
 
     def __init__(
-        self, host: str, port: int, room: Callable[[], bool], make: Callable[[], asyncio.Protocol]
-    ) -> None:
+        self, host: str, port: int, room: Callable[[], bool], make: Callable[[], asyncio.Protocol],
+        inherited: int | None = None,
+    ) -> None:  # fmt: skip
         self.loop, self.room, self.make = asyncio.get_running_loop(), room, make
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        if inherited is None:
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            self.socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
+        else:
+            self.socket = take_listening(inherited)
         self.socket.setblocking(False)
         self.tasks: set[asyncio.Task[None]] = set()
         self.bell: asyncio.TimerHandle | None = None
