--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -15,9 +15,12 @@
 from cleatyoke.config import BadConfig, Config, read_config
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
+from cleatyoke.figures import Figures
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.discovery import Discovery
+from cleatyoke.net.handover import HoldFile
 from cleatyoke.net.messages import BadMessage, read_listing
+from cleatyoke.net.ops import Commands, ControlListener
 from cleatyoke.net.server import Front
 from cleatyoke.net.sockets import NotListening
 from cleatyoke.sftp.boxes import FileBoxes
@@ -83,8 +86,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     config.settings.quiet_since = BEGAN
-    core, directory = Core(config.settings), Directory(config.zones)
-    boxes = Boxes(directory, config.dial_timeout, config.idle_close, config.shares.boxes)
+    core, directory, figures = Core(config.settings), Directory(config.zones), Figures()
+    boxes = Boxes(directory, config.dial_timeout, config.idle_close, config.shares.boxes, figures)
+    handed = HoldFile(config.state_dir, directory, core)
     discovery = Discovery(
         config.discovery, directory, core.tell, config.settings.hosts, config.seed
     )
@@ -106,8 +110,10 @@
         try:
             moved, waiting = config.reload(read_config(os.environ))
         except BadConfig as error:
+            figures.reconfig_failed += 1
             log.error("reload_failed", why=str(error))
             return
+        figures.reconfig_ok += 1
         log.info("reloaded", discovery=config.discovery, moved=moved, next_start=waiting)
         if moved:
             discovery.move(config.discovery)
@@ -120,6 +126,24 @@
         raise BadConfig(f"RELAY_ACCEPT_FD: {error}") from error
     except OSError as error:
         raise BadConfig(f"listen: {error}") from error
+    control = None
+    if config.ops:
+        commands = Commands(
+            ready=lambda: bool(front.listener) and not front.closing and front.drain.says_up(front.ready()),
+            figures=lambda: figures.lines(
+                list(config.classes), len(directory.boxes), directory.down()
+            ),
+            disable=handed.disable,
+            enable=handed.enable,
+            drain=front.drained,
+            resume=front.drain.resume,
+        )
+        try:
+            control = ControlListener(config.ops, commands)
+        except OSError as error:
+            raise BadConfig(f"ops: {error}") from error
+        control.start()
+    handed.start()
     gc.collect()
     gc.freeze()  # what the start made stays; later collections pass over it
     log.info("ready", name=config.name, listen=front.address, nodes=len(directory.boxes))
@@ -144,7 +168,10 @@
         log.warning("left_unanswered", open=len(core.calls))
     discovery.stop()
     boxes.close()
-    log.info("left")
+    handed.stop()
+    if control:
+        control.stop()
+    log.info("left", figures=" ".join(figures.lines(list(config.classes), len(directory.boxes), 0)))
 
 
 def main() -> int:
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -105,6 +105,7 @@
     vrrp: VrrpPeers | None = None
     accept_fd: int | None = None  # a listening socket handed down by the platform, in place of ``listen``
     ops: Address | None = None  # the operators' control address
+    state_dir: Path = Path("/tmp")  # $TMPDIR: what both processes of an upgrade share
 
     def notice(self) -> float:
         """Seconds from SIGTERM to SIGKILL: the longest deadline, 3 s at the most, and 0.7 s more."""
@@ -115,7 +116,7 @@
         over RELAY_DISCOVERY, as a running process cannot be given another. Returns whether it moved, and the
         changed keys that wait for the next start; ``known`` and ``seed`` count at a start only."""
         new.settings.seed, new.settings.quiet_since = self.settings.seed, self.settings.quiet_since
-        kept = ("name", "listen", "accept_fd", "ops", "shares", "settings", "classes", "plans",
+        kept = ("name", "listen", "accept_fd", "ops", "state_dir", "shares", "settings", "classes", "plans",
                 "dial_timeout", "idle_close", "sftp", "vrrp")  # fmt: skip
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
         moved = new.file_discovery != self.file_discovery
@@ -321,6 +322,7 @@
         vrrp=vrrp,
         accept_fd=read_descriptor(environment.get("RELAY_ACCEPT_FD")),
         ops=address("RELAY_OPS", "ops") if environment.get("RELAY_OPS") or "ops" in values else None,
+        state_dir=Path(environment.get("TMPDIR") or "/tmp"),
     )
 
 
--- a/cleatyoke/directory.py
+++ b/cleatyoke/directory.py
@@ -8,6 +8,7 @@
 
 from cleatyoke import api
 from cleatyoke.config import Address
+from cleatyoke.maintenance import Holds
 
 MOST_GONE = 1024  # boxes that went and whose numbers are kept, as they may return or a call may name them
 
@@ -44,10 +45,36 @@
         self.boxes: dict[int, Instance] = {}
         self.version: int | None = None
         self.watchers: list[Callable[[int], None]] = []
+        self.holds = Holds()  # boxes disabled by hand, by id
 
     def serves(self, node: int) -> bool:
         box = self.boxes.get(node)
-        return box is not None and box.state is api.NodeState.LIVE
+        return box is not None and box.state is api.NodeState.LIVE and not self.holds.holds(box.name)
+
+    def knows(self, name: str) -> bool:
+        """Whether any list named the box; safe from another thread."""
+        return name in self.numbers
+
+    def entry(self, node: int, box: Instance) -> api.NodeEntry:
+        """A box as the policy sees it: one held by hand drains, one released was started anew."""
+        state = api.NodeState.DRAINING if self.holds.holds(box.name) else box.state
+        zone = self.zones.setdefault(box.zone, len(self.zones))
+        return api.NodeEntry(node, box.cell, zone, state, self.holds.started(box.name, box.started))
+
+    def changed(self, names: list[str]) -> list[api.NodeEntry]:
+        """Holds were taken or given back: the entries that change for the policy, and the watchers told."""
+        entries = []
+        for name in names:
+            node = self.numbers.get(name)
+            if node is not None and (box := self.boxes.get(node)):
+                entries.append(self.entry(node, box))
+                for watcher in self.watchers:
+                    watcher(node)
+        return entries
+
+    def down(self) -> int:
+        """Listed boxes that nothing is sent to: held by hand, or draining."""
+        return sum(1 for node in list(self.boxes) if not self.serves(node))
 
     def apply(self, listing: Listing) -> list[api.NodeEntry]:
         """Take in a list and return its entries for the policy."""
@@ -63,8 +90,7 @@
                 self.boxes.pop(node, None)
             else:
                 self.boxes[node] = box
-            zone = self.zones.setdefault(box.zone, len(self.zones))
-            entries.append(api.NodeEntry(node, box.cell, zone, box.state, box.started))
+            entries.append(self.entry(node, box))
         self.version = listing.version
         self.forget()
         for node, box in before.items():
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -17,6 +17,7 @@
 from cleatyoke.config import Address
 from cleatyoke.core import Ending
 from cleatyoke.directory import Directory
+from cleatyoke.figures import Figures
 from cleatyoke.net.messages import (
     Answer,
     AnswerReader,
@@ -47,6 +48,7 @@
         self.unwritten = False  # a part of the request is still here
         self.rested_at = 0.0
         self.left: Callable[[], None] | None = None  # while it is pooled: what to do when it ends
+        self.written: Callable[[], None] | None = None  # once the request's last byte has left
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -58,6 +60,9 @@
 
     def resume_writing(self) -> None:
         self.unwritten = False
+        if self.written:
+            self.written()
+            self.written = None
 
     def data_received(self, data: bytes) -> None:
         if self.reader is None or self.answer is None or self.answer.done():
@@ -100,15 +105,19 @@
             return False
         return not unread(self.transport)
 
-    async def exchange(self, request: bytes) -> Answer:
+    async def exchange(self, request: bytes, written: Callable[[], None]) -> Answer:
         if self.transport is None or self.transport.is_closing():
             raise ConnectionError("it ended before the first byte")  # so nothing ran
         self.reader, self.answer = AnswerReader(), self.loop.create_future()
         self.transport.write(request)
+        if self.unwritten:
+            self.written = written
+        else:
+            written()
         try:
             return await self.answer
         finally:
-            self.reader = self.answer = None
+            self.reader = self.answer = self.written = None
             if self.gap:
                 self.gap.cancel()
                 self.gap = None
@@ -125,8 +134,12 @@
 class Boxes:
     """Attempts at the boxes of the directory. ``most`` bounds the connections to all of them."""
 
-    def __init__(self, directory: Directory, dial_timeout: float, idle_close: float, most: int) -> None:
+    def __init__(
+        self, directory: Directory, dial_timeout: float, idle_close: float, most: int,
+        figures: Figures | None = None,
+    ) -> None:  # fmt: skip
         self.directory, self.dial_timeout, self.most = directory, dial_timeout, most
+        self.figures = figures or Figures()
         self.keep = idle_close * IDLE_SHARE
         self.pools: dict[int, Pool] = {}
         self.open = 0  # connections, those that come up included
@@ -162,10 +175,10 @@
         self.open += 1
         try:
             line = self.rested(pool) or await self.dial(pool)
-            if pool.retired:  # the last look before the first byte: discovery may have spoken meanwhile
+            if pool.retired or not self.directory.serves(node):  # the last look before the first byte
                 return Ending(Outcome.NOT_SENT)
             try:
-                answer = await line.exchange(encode_attempt(ask, pool.address, wait))
+                answer = await line.exchange(encode_attempt(ask, pool.address, wait), self.counted)
             except SpoiltAnswer:
                 return Ending(Outcome.NO_CONNECTION if line.unwritten else Outcome.RESET)
             outcome = decode_outcome(answer.status, answer.headers)
@@ -183,6 +196,9 @@
                 if line:
                     line.abort()
 
+    def counted(self) -> None:
+        self.figures.backend_calls += 1
+
     def rested(self, pool: Pool) -> Line | None:
         """An idle connection. One with bytes that nobody awaits, seen by the loop or not yet, is none."""
         now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/cleatyoke/net/handover.py
@@ -0,0 +1,101 @@
+"""The boxes held by hand, kept in ``$TMPDIR`` so that both processes of an upgrade hold the same ones.
+
+Each change is made under a lock on the file: what the other process wrote is taken first, then the change,
+then the whole set is written anew. The loop looks at the file every 0.25 s for changes by the other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import os
+import threading
+from pathlib import Path
+
+import structlog
+
+from cleatyoke import api
+from cleatyoke.core import Core
+from cleatyoke.directory import Directory
+
+NAME = "cleatyoke-holds.json"
+LOOK = 0.25  # seconds between looks at the file
+log = structlog.get_logger()
+
+
+class HoldFile:
+    def __init__(self, folder: Path, directory: Directory, core: Core) -> None:
+        self.path, self.lock_path = folder / NAME, folder / (NAME + ".lock")
+        self.directory, self.core, self.loop = directory, core, core.loop
+        self.mutex = threading.Lock()
+        self.seen: tuple[int, int] | None = None
+        self.bell: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        self.look()
+
+    def stop(self) -> None:
+        if self.bell:
+            self.bell.cancel()
+
+    def stamp(self) -> tuple[int, int] | None:
+        try:
+            facts = os.stat(self.path)
+        except OSError:
+            return None
+        return facts.st_mtime_ns, facts.st_size
+
+    def take(self) -> list[str]:
+        """What the other process wrote; the ids whose hold changed."""
+        stamp = self.stamp()
+        if stamp is None or stamp == self.seen:
+            return []
+        self.seen = stamp
+        try:
+            text = self.path.read_text()
+        except OSError:
+            return []
+        taken, freed = self.directory.holds.adopt(text, self.core.now())
+        return taken + freed
+
+    def look(self) -> None:
+        with self.mutex:
+            changed = self.take()
+        self.tell(changed)
+        self.bell = self.loop.call_later(LOOK, self.look)
+
+    def tell(self, names: list[str]) -> None:
+        """On the loop: the policy and the box pools hear of holds taken or given back."""
+        if entries := self.directory.changed(names):
+            self.core.tell(api.NodeList(api.ListKind.CHANGES, entries))
+
+    def change(self, name: str, disable: bool) -> bool:
+        """From the control thread: the hold holds for the box client at once, and for the policy soon."""
+        with self.mutex:
+            try:
+                with open(self.lock_path, "a") as lock:
+                    fcntl.flock(lock, fcntl.LOCK_EX)
+                    changed = self.take()
+                    done = self.act(name, disable)
+                    self.write()
+            except OSError as error:
+                log.warning("holds_not_kept", why=str(error))
+                changed, done = [], self.act(name, disable)
+        self.loop.call_soon_threadsafe(self.tell, [*changed, name])
+        return done
+
+    def act(self, name: str, disable: bool) -> bool:
+        holds, known = self.directory.holds, self.directory.knows(name)
+        return holds.disable(name, known) if disable else holds.enable(name, known, self.core.now())
+
+    def write(self) -> None:
+        spare = self.path.with_suffix(".new")
+        spare.write_text(self.directory.holds.encode())
+        os.replace(spare, self.path)
+        self.seen = self.stamp()
+
+    def disable(self, name: str) -> bool:
+        return self.change(name, True)
+
+    def enable(self, name: str) -> bool:
+        return self.change(name, False)
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -17,6 +17,7 @@
 from cleatyoke import api
 from cleatyoke.config import Address, Config
 from cleatyoke.core import ATTEMPT_MARGIN, Core, Ending, Failed, Refused, Served
+from cleatyoke.maintenance import Drain
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
 from cleatyoke.net.sockets import Listener, unread
@@ -28,6 +29,8 @@
 MOST_FIELDS = 64
 SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
 REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken
+SWEEP = 0.05  # seconds between looks for idle connections while the front drains
+DRAIN_SILENT = 0.3  # seconds for which a new connection may stand without a request while the front drains
 log = structlog.get_logger()
 
 
@@ -103,8 +106,12 @@
 class Front:
     """One listener. ``handle`` is the whole life of a message."""
 
-    def __init__(self, config: Config, core: Core, boxes: Boxes, ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, config: Config, core: Core, boxes: Boxes, ready: Callable[[], bool], drain: Drain | None = None
+    ) -> None:  # fmt: skip
         self.config, self.core, self.boxes, self.ready = config, core, boxes, ready
+        self.drain, self.figures = drain or Drain(), boxes.figures
+        self.sweeper: asyncio.TimerHandle | None = None
         self.most_clients = config.shares.clients
         self.last_answer, self.closing = math.inf, False
         self.server = web.Server(
@@ -170,15 +177,22 @@
         client = request.protocol
         assert isinstance(client, Client)
         client.take()
+        name = request.headers.get("X-Qos", "") if request.path == "/api" else ""
+        counted = name in self.config.classes
+        self.figures.inflight += counted
         try:
             response = await self.answer(request, client)
+            if counted:
+                self.figures.answered(name, response.status)
         finally:
+            self.figures.inflight -= counted
             client.give_back()
         # Guards against clients that ask once and keep their connection for good: they would soon hold all
         # that clients can open, and the next find none. A close that the answer tells of crosses nothing.
         # Only idle ones count: amid a storm of repeats, new connections would cost what the answers need.
         crowded = len(self.idle) - len(self.silent) > self.config.shares.crowd
-        if crowded or self.closing or not request.content.is_eof() or client.crowded():
+        leaving = self.closing or self.drain.draining
+        if crowded or leaving or not request.content.is_eof() or client.crowded():
             response.force_close()  # Connection: close
         return response
 
@@ -186,7 +200,7 @@
         came = self.core.now()
         path = request.path
         if path == "/up":
-            return web.Response(status=200 if self.ready() else 503)
+            return web.Response(status=200 if self.drain.says_up(self.ready()) else 503)
         if path != "/api" or not request.raw_path.startswith("/"):  # no absolute form: it is no proxy
             return web.Response(status=404)
         if request.method not in ("GET", "PUT"):
@@ -242,6 +256,29 @@
             case Failed():
                 return web.Response(status=502)
 
+    def sweep(self) -> None:
+        """While the front drains: no connection is kept idle, nor one that has not sent a request in time."""
+        self.sweeper = None
+        if not self.drain.draining:
+            return
+        before = self.core.loop.time() - DRAIN_SILENT
+        for client in [*self.idle]:
+            if client not in self.silent and client.evictable():
+                client.evict()
+        for client in [*self.silent]:
+            if client.came <= before and client.evictable():
+                client.evict()
+        self.sweeper = self.core.loop.call_later(SWEEP, self.sweep)
+
+    def drained(self) -> None:
+        """The operators' drain: told from any thread, it acts on the loop."""
+        self.drain.start()
+        self.core.loop.call_soon_threadsafe(self.begin_sweep)
+
+    def begin_sweep(self) -> None:
+        if self.sweeper is None:
+            self.sweep()
+
     def leave(self, last: float) -> None:
         """The process is to end: what is taken from now on is answered within so many seconds. Connections
         are kept while it still serves, as their clients could come back by no other."""
