--- a/cleatyoke/net/ops.py
+++ b/cleatyoke/net/ops.py
@@ -161,9 +161,13 @@
     def fault(self, caller: Caller, why: str, word: str | None) -> None:
         self.faults += 1
         log.info("ops_bad_call", why=why)
-        if word:
-            with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError):
+            if word:
                 caller.socket.send(f"{word}\n".encode())
+            caller.socket.shutdown(socket.SHUT_WR)
+            for _ in range(64):  # what is left unread would make the close a reset, and lose the answer
+                if not caller.socket.recv(4096):
+                    break
         self.close(caller)
 
     def close(self, caller: Caller) -> None:
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,204 @@
+"""The operators' parts: control address, figures, holds on boxes across processes, and a drain."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from cleatyoke import api
+from cleatyoke.core import Core
+from cleatyoke.directory import Directory
+from cleatyoke.figures import Figures
+from cleatyoke.maintenance import Holds
+from cleatyoke.net.boxes import Boxes
+from cleatyoke.net.handover import HoldFile
+from cleatyoke.net.ops import Commands, ControlListener, answer
+from cleatyoke.net.server import Front
+from tests.wire import HttpBox, config, instance, listed
+from tests.wire import answer as box_answer
+
+HEADERS = {
+    "X-Qos": "tile-read",
+    "X-Plan": "public",
+    "X-Expires-In-Ms": "1500",
+    "X-IO": "volume=00000003b4d60021,units=2,shard=0,hosts=1",
+}
+TARGET = "/api?block=7f3a9c21e0b4d655"
+
+
+class HoldsCase(unittest.TestCase):
+    def test_a_hold_is_not_counted_and_an_unknown_id_is_refused(self) -> None:
+        holds = Holds()
+        self.assertFalse(holds.disable("s-x", known=False))
+        self.assertTrue(holds.disable("s-a", known=True))
+        self.assertTrue(holds.disable("s-a", known=True))
+        self.assertTrue(holds.holds("s-a"))
+        self.assertTrue(holds.enable("s-a", known=True, now=50.0))
+        self.assertFalse(holds.holds("s-a"))  # one call back for two calls
+        self.assertFalse(holds.enable("s-x", known=False, now=51.0))
+        self.assertEqual(holds.started("s-a", 0.0), 50.0)  # it comes back cold
+
+    def test_holds_written_by_another_process_are_taken_and_noise_changes_nothing(self) -> None:
+        one, two = Holds(), Holds()
+        one.disable("s-a", True)
+        one.disable("s-b", True)
+        self.assertEqual(two.adopt(one.encode(), 10.0), (["s-a", "s-b"], []))
+        one.enable("s-a", True, 11.0)
+        self.assertEqual(two.adopt(one.encode(), 12.0), ([], ["s-a"]))
+        self.assertEqual(two.started("s-a", 0.0), 12.0)
+        self.assertEqual(two.adopt("{", 13.0), ([], []))
+        self.assertTrue(two.holds("s-b"))
+
+
+class DirectoryCase(unittest.TestCase):
+    def test_a_held_box_drains_for_the_policy_and_a_released_one_is_new(self) -> None:
+        directory = Directory({})
+        entry = listed(directory, instance("s-a", 1), whole=True).entries[0]
+        self.assertEqual(entry.state, api.NodeState.LIVE)
+        directory.holds.disable("s-a", True)
+        self.assertFalse(directory.serves(entry.node))
+        self.assertEqual(directory.down(), 1)
+        held = listed(directory, instance("s-a", 1), whole=True).entries[0]  # whatever discovery says
+        self.assertEqual(held.state, api.NodeState.DRAINING)
+        directory.holds.enable("s-a", True, 70.0)
+        back = directory.changed(["s-a"])[0]
+        self.assertEqual((back.state, back.up_since), (api.NodeState.LIVE, 70.0))
+        self.assertTrue(directory.serves(entry.node))
+
+
+class FiguresCase(unittest.TestCase):
+    def test_each_class_is_named_under_each_outcome_and_refusals_are_busy(self) -> None:
+        figures = Figures()
+        for status in (200, 200, 503, 429, 502, 400):
+            figures.answered("tile-read", status)
+        lines = figures.lines(["tile-read", "record-write"], 3, 1)
+        for line in ("front.success.tile-read=2", "front.busy.tile-read=2", "front.failure.tile-read=2",
+                     "front.success.record-write=0", "front.hosts_down=1"):  # fmt: skip
+            self.assertIn(line, lines)
+
+
+def commands(**changes: object) -> Commands:
+    held: set[str] = set()
+    base = {
+        "ready": lambda: True,
+        "figures": lambda: ["front.inflight=0"],
+        "disable": lambda name: name == "s-a" and not held.add(name),
+        "enable": lambda name: name == "s-a",
+        "drain": lambda: None,
+        "resume": lambda: None,
+    }
+    return Commands(**{**base, **changes})  # type: ignore[arg-type]
+
+
+class CallsCase(unittest.TestCase):
+    def test_each_call_has_its_answer(self) -> None:
+        given = commands()
+        self.assertEqual(answer(given, "ready"), ["SUCCESS"])
+        self.assertEqual(answer(given, "show-stat\r"), ["front.inflight=0", "EOT"])
+        self.assertEqual(answer(given, "disable-server s-a"), ["SUCCESS"])
+        self.assertTrue(answer(given, "disable-server s-zz")[0].startswith("FAILURE"))
+        self.assertTrue(answer(given, "disable-server")[0].startswith("FAILURE"))
+        self.assertTrue(answer(given, "ready now")[0].startswith("FAILURE"))
+        self.assertTrue(answer(given, "reboot")[0].startswith("FAILURE"))
+        self.assertEqual(answer(commands(ready=lambda: False), "ready")[0][:7], "FAILURE")
+
+
+def call(port: int, data: bytes, patience: float = 6.0) -> bytes:
+    with socket.create_connection(("127.0.0.1", port), timeout=patience) as connection:
+        connection.sendall(data)
+        got = b""
+        while chunk := connection.recv(4096):
+            got += chunk
+        return got
+
+
+class ListenerCase(unittest.TestCase):
+    def test_callers_that_stall_or_send_noise_never_hold_up_another(self) -> None:
+        from cleatyoke.config import Address
+
+        listener = ControlListener(Address("127.0.0.1", 0), commands())
+        listener.start()
+        port = listener.address.port
+        try:
+            stalled = [socket.create_connection(("127.0.0.1", port)) for _ in range(20)]
+            stalled[0].sendall(b"read")  # half a call
+            began = time.monotonic()
+            self.assertEqual(call(port, b"ready\n"), b"SUCCESS\n")
+            self.assertEqual(call(port, b"show-stat\n"), b"front.inflight=0\nEOT\n")
+            self.assertTrue(call(port, b"x" * 600).startswith(b"FAILURE"))
+            self.assertTrue(call(port, b"\xff\xfe\n").startswith(b"FAILURE"))
+            self.assertLess(time.monotonic() - began, 1.0)
+            stalled[1].settimeout(6.0)
+            self.assertTrue(stalled[1].recv(100).startswith(b"FAILURE"))  # after 4 s without a line
+            self.assertGreater(time.monotonic() - began, 3.9)
+            for one in stalled:
+                one.close()
+        finally:
+            listener.stop()
+
+
+class FrontCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        async def script(trace: str) -> bytes:
+            return box_answer()
+
+        self.box: HttpBox = await HttpBox(script).start()
+        self.core, self.directory = Core(config().settings), Directory({})
+        self.boxes = Boxes(self.directory, 0.25, 30.0, 32)
+        self.front = Front(config(), self.core, self.boxes, lambda: True)
+        self.front.listen()
+        self.url = f"http://127.0.0.1:{self.front.address.port}"
+        self.core.tell(listed(self.directory, instance("s-a", self.box.port), whole=True))
+        self.folder = tempfile.TemporaryDirectory()
+        self.handed = HoldFile(Path(self.folder.name), self.directory, self.core)
+        self.handed.start()
+
+    async def asyncTearDown(self) -> None:
+        self.handed.stop()
+        await self.front.close()
+        self.boxes.close()
+        self.box.stop()
+        self.folder.cleanup()
+
+    async def test_a_drain_says_no_at_once_closes_idle_connections_and_resume_says_yes(self) -> None:
+        async with aiohttp.ClientSession() as client:
+            async with client.get(self.url + "/up") as response:
+                self.assertEqual(response.status, 200)
+            kept = list(self.front.clients)
+            self.assertTrue(kept)
+            self.front.drained()
+            async with client.get(self.url + "/up") as response:
+                self.assertEqual(response.status, 503)
+                self.assertEqual(response.headers.get("Connection"), "close")
+            idle = socket.create_connection(("127.0.0.1", self.front.address.port))
+            await asyncio.sleep(0.45)
+            self.assertFalse(self.front.clients)  # neither the kept one nor the one that never spoke
+            idle.close()
+            self.front.drain.resume()
+            async with client.get(self.url + "/up") as response:
+                self.assertEqual(response.status, 200)
+
+    async def test_a_held_box_is_sent_nothing_at_once_and_a_second_process_holds_it_too(self) -> None:
+        async with aiohttp.ClientSession() as client:
+            headers = {**HEADERS, "X-Trace-Id": "a"}
+            async with client.get(self.url + TARGET, headers=headers) as response:
+                self.assertEqual(response.status, 200)
+            self.assertEqual(self.boxes.figures.backend_calls, 1)
+            self.assertFalse(await asyncio.to_thread(self.handed.disable, "s-zz"))
+            self.assertTrue(await asyncio.to_thread(self.handed.disable, "s-a"))
+            async with client.get(self.url + TARGET, headers={**headers, "X-Trace-Id": "b"}) as response:
+                self.assertEqual(response.status, 503)  # the only box is held
+            self.assertEqual(len(self.box.heads), 1)
+            other = Directory({})
+            listed(other, instance("s-a", self.box.port), whole=True)
+            HoldFile(Path(self.folder.name), other, self.core).look()
+            self.assertTrue(other.holds.holds("s-a"))
+            self.assertTrue(await asyncio.to_thread(self.handed.enable, "s-a"))
+            await asyncio.sleep(0.01)
+            self.assertTrue(self.directory.serves(1))
