Halve each limit while another process of the front lives, as during an upgrade

Ruled out: the store's start (it holds half of the slack only, as before). Change: each process leaves a mark in TMPDIR and counts every 50 ms the marks of processes that live; the policy's limit rate and ceiling are its share (1/2 with one other).

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -18,7 +18,7 @@
 from cleatyoke.figures import Figures
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.discovery import Discovery
-from cleatyoke.net.handover import HoldFile
+from cleatyoke.net.handover import HoldFile, Lives
 from cleatyoke.net.messages import BadMessage, read_listing
 from cleatyoke.net.ops import Commands, ControlListener
 from cleatyoke.net.server import Front
@@ -86,6 +86,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     config.settings.quiet_since = BEGAN
+    lives = Lives(config.state_dir, config.settings)  # first: an older process hears of this one at once
     core, directory, figures = Core(config.settings), Directory(config.zones), Figures()
     boxes = Boxes(directory, config.dial_timeout, config.idle_close, config.shares.boxes, figures)
     handed = HoldFile(config.state_dir, directory, core)
@@ -144,6 +145,7 @@
             raise BadConfig(f"ops: {error}") from error
         control.start()
     handed.start()
+    lives.start()
     gc.collect()
     gc.freeze()  # what the start made stays; later collections pass over it
     log.info("ready", name=config.name, listen=front.address, nodes=len(directory.boxes))
@@ -169,6 +171,7 @@
     discovery.stop()
     boxes.close()
     handed.stop()
+    lives.stop()
     if control:
         control.stop()
     log.info("left", figures=" ".join(figures.lines(list(config.classes), len(directory.boxes), 0)))
--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -108,6 +108,7 @@
     within_share: float
     tells_others: bool = False  # nodes say what they served a volume through other hosts
     quiet_since: float | None = None  # from then on this host has sent nothing; None: from its first step
+    limit_share: float = 1.0  # of each limit that this process may use: less while another of this host lives
     retry_after: float = 0.0  # longest time that clients heed; 0: they are not told when to come back
 
 
--- a/cleatyoke/net/handover.py
+++ b/cleatyoke/net/handover.py
@@ -20,6 +20,8 @@
 
 NAME = "cleatyoke-holds.json"
 LOOK = 0.25  # seconds between looks at the file
+MARK = "cleatyoke-life-"
+LIVES = 0.05  # seconds between counts of the processes that live: the slack of a limit is spent in 0.3 s
 log = structlog.get_logger()
 
 
@@ -99,3 +101,49 @@
 
     def enable(self, name: str) -> bool:
         return self.change(name, False)
+
+
+class Lives:
+    """The processes of this front that live at once, as during an upgrade: each leaves a mark in ``$TMPDIR``,
+    and while others live, each may use only its part of every limit. A mark of a process that died is passed
+    over."""
+
+    def __init__(self, folder: Path, settings: api.Settings) -> None:
+        self.folder, self.settings = folder, settings
+        self.mark = folder / f"{MARK}{os.getpid()}"
+        self.bell: asyncio.TimerHandle | None = None
+        try:
+            self.mark.write_text("")
+        except OSError as error:
+            log.warning("life_not_marked", why=str(error))
+        self.count()
+
+    def others(self) -> int:
+        alive = 0
+        for path in self.folder.glob(f"{MARK}*"):
+            pid = path.name.removeprefix(MARK)
+            if not pid.isdecimal() or int(pid) == os.getpid():
+                continue
+            try:
+                os.kill(int(pid), 0)
+            except ProcessLookupError:
+                continue
+            except OSError:
+                pass  # it lives, under another user
+            alive += 1
+        return alive
+
+    def count(self) -> None:
+        share = 1.0 / (1 + self.others())
+        if share != self.settings.limit_share:
+            log.info("limits_shared", share=share)
+        self.settings.limit_share = share
+
+    def start(self) -> None:
+        self.count()
+        self.bell = asyncio.get_running_loop().call_later(LIVES, self.start)
+
+    def stop(self) -> None:
+        if self.bell:
+            self.bell.cancel()
+        self.mark.unlink(missing_ok=True)
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -460,8 +460,9 @@
         plan = self.settings.plans[request.ask.plan]
         if not plan.limit or request.sends:
             return self.now
-        store, rate = request.volume.limit, plan.limit / request.hosts
-        store.fill(rate, plan.limit_burst / request.hosts, self.now)
+        share = self.settings.limit_share / request.hosts  # two processes of an upgrade are one host
+        store, rate = request.volume.limit, plan.limit * share
+        store.fill(rate, plan.limit_burst * share, self.now)
         return self.now + max(0.0, request.units - store.level) / rate
 
     def bears_at(self, node: Node) -> float:
