Refuse a settings file whose deadline or aim is not a positive number

SendCap was already held to 1..1000; AimS and GiveUpS took 0 and negatives. Test: four faults named.

--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -150,6 +150,13 @@
             raise self.fail(key, f"want a number, found {value!r}")
         return float(value)
 
+    def positive(self, key: str, default: float | None = None) -> float:
+        """A span or a count that only a positive number can be: a deadline of 0 would refuse all."""
+        value = self.number(key, default)
+        if not value > 0:
+            raise self.fail(key, f"want a positive number, found {self.values.get(key)!r}")
+        return value
+
     def whole(self, key: str, least: int, most: int, default: int | None = None) -> int:
         value = self.get(key, default)
         if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
@@ -212,7 +219,7 @@
     safety, limits, extra = root.table("Safety", {}), root.table("PolicyLimits"), root.table("Extra", {})
     classes = [
         api.ClassSpec(
-            aim=lane.number("AimS"),
+            aim=lane.positive("AimS"),
             worth=lane.number("Worth"),
             late_share=lane.number("LateShare", 0.0),
             repeat=lane.one_of("Repeat", REPEATS),
@@ -312,7 +319,7 @@
         settings=read_settings(facts.values, seed),
         classes=classes,
         plans=plans,
-        give_up=[lane.number("GiveUpS", math.inf) for lane in lanes],
+        give_up=[lane.positive("GiveUpS", math.inf) for lane in lanes],
         writes=[bool(one) for one in extra.get("ChangesData", [])],
         shards=extra.whole("Shards", 0, 1 << 31, 0),
         zones={zone: place for place, zone in enumerate(facts.get("Areas", []))},
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -725,6 +725,13 @@
             ({"settings": {**FACTS, "Lanes": lanes}}, "settings.Lanes[0].Repeat:"),
             ({"settings": {**FACTS, "PolicyLimits": {}}}, "settings.PolicyLimits.SendCap: missing"),
             ({"limits": {"sockets": "many"}}, "limits.sockets:"),
+            ({"settings": {**FACTS, "Lanes": [{**FACTS["Lanes"][0], "AimS": 0}]}}, "settings.Lanes[0].AimS:"),
+            (
+                {"settings": {**FACTS, "Lanes": [{**FACTS["Lanes"][0], "GiveUpS": -1}]}},
+                "settings.Lanes[0].GiveUpS:",
+            ),
+            ({"settings": {**FACTS, "PolicyLimits": {"SendCap": 0}}}, "settings.PolicyLimits.SendCap:"),
+            ({"settings": {}}, "settings.PolicyLimits: missing"),
         ]
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
