Leave by a state machine, and let no unforeseen fault end a front or a duty

Read through for ways out: an exception in the main task at any step of leaving (a mark in TMPDIR that cannot be removed) ended a good leaving with status 1; an exception of ours in the watch on discovery ended the watch for good without a line; a timer that looks at the holds ended with its first exception; settings with no class, or a figure in place of a list, raised at the start (status 1) and at SIGHUP went uncounted.

Change: lifecycle.py holds the stages and when each step of leaving is due, without I/O or clock; faults.py counts and tells what nothing foresaw, keeps timers and the watch going; the daemon's start and leaving are steps of their own.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -15,7 +15,9 @@
 from cleatyoke.config import BadConfig, Config, read_config
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
+from cleatyoke.faults import Faults
 from cleatyoke.figures import Figures
+from cleatyoke.lifecycle import Lifecycle, Notice, Order, Stage, Status
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.discovery import Discovery
 from cleatyoke.net.handover import HoldFile, Lives
@@ -28,9 +30,7 @@
 from cleatyoke.vrrp import Carrier
 
 FIRST_WORD = 1.0  # seconds for discovery's first word where there is no old list to serve by
-LINGER = 0.75  # seconds after SIGTERM in which everything is accepted at the least
-ANSWERS = 2.0  # times the longest aim: what is kept for what is taken last
-EXIT = 0.15  # seconds kept for the exit itself
+LOOK = 0.02  # seconds between looks for what is still open while the process leaves
 log = structlog.get_logger()
 
 
@@ -80,112 +80,173 @@
             self.front.boxes.close()
 
 
-async def run(config: Config) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    config.settings.quiet_since = BEGAN
-    lives = Lives(config.state_dir, config.settings)  # first: an older process hears of this one at once
-    core, directory, figures = Core(config.settings), Directory(config.zones), Figures()
-    boxes = Boxes(directory, config.dial_timeout, config.idle_close, config.shares.boxes, figures)
-    handed = HoldFile(config.state_dir, directory, core)
-    discovery = Discovery(
-        config.discovery, directory, core.tell, config.settings.hosts, config.seed
-    )
-    if config.known:
-        try:
-            discovery.take(read_listing(config.known), api.ListKind.OLD_COPY)
-        except BadMessage as error:
-            log.warning("known_list_skipped", why=str(error))
-    # With an old list it serves at once. Guards a fleet that is killed as one: while its hosts waited for an
-    # overbooked discovery, all that came through them was lost, which no stale entry of a list costs.
-    patient_until = loop.time() + (FIRST_WORD if not directory.boxes else 0.0)
-    front = Front(
-        config, core, boxes, lambda: discovery.heard.is_set() or loop.time() >= patient_until
-    )
-    discovery.start()
-
-    def reload() -> None:
-        """SIGHUP: the file is read again, and kept out as a whole where it has a fault."""
+class Daemon:
+    """One process of a front: what the start makes, how it serves, and the steps of its leaving."""
+
+    def __init__(self, config: Config) -> None:
+        self.config, self.loop = config, asyncio.get_running_loop()
+        settings = config.settings
+        self.life = Lifecycle(Notice.of(config.notice(), [kind.aim for kind in settings.classes]))
+        self.signalled = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.asked)
+        self.figures = Figures()
+        self.faults = Faults(self.figures)
+        self.faults.watch(self.loop)
+        settings.quiet_since = BEGAN
+        # first: an older process hears of this one at once
+        self.lives = Lives(config.state_dir, settings, self.faults)
+        self.core, self.directory = Core(settings), Directory(config.zones)
+        self.boxes = Boxes(
+            self.directory, config.dial_timeout, config.idle_close, config.shares.boxes, self.figures
+        )
+        self.handed = HoldFile(config.state_dir, self.directory, self.core, self.faults)
+        self.discovery = Discovery(
+            config.discovery, self.directory, self.core.tell, settings.hosts, config.seed, self.faults
+        )
+        self.control: ControlListener | None = None
+        self.files, self.closing_files = FileService(), False
+
+    def asked(self) -> None:
+        """SIGTERM or SIGINT."""
+        if self.life.asked(self.loop.time()):
+            self.signalled.set()
+
+    async def start(self) -> None:
+        """All that can fail before anybody is served; a ``BadConfig`` ends the process by its key."""
+        config, directory = self.config, self.directory
+        if config.known:
+            try:
+                self.discovery.take(read_listing(config.known), api.ListKind.OLD_COPY)
+            except BadMessage as error:
+                log.warning("known_list_skipped", why=str(error))
+        # With an old list it serves at once. Guards a fleet that is killed as one: while its hosts waited for
+        # an overbooked discovery, all that came through them was lost, which no stale entry of a list costs.
+        patient_until = self.loop.time() + (FIRST_WORD if not directory.boxes else 0.0)
+        self.front = Front(
+            config, self.core, self.boxes,
+            lambda: self.discovery.heard.is_set() or self.loop.time() >= patient_until,
+        )  # fmt: skip
+        self.discovery.start()
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         try:
-            moved, waiting = config.reload(read_config(os.environ))
-        except BadConfig as error:
-            figures.reconfig_failed += 1
-            log.error("reload_failed", why=str(error))
-            return
-        figures.reconfig_ok += 1
-        log.info("reloaded", discovery=config.discovery, moved=moved, next_start=waiting)
-        if moved:
-            discovery.move(config.discovery)
-
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    try:
-        front.listen()
-        files = await FileService.start(config, core, directory)
-    except NotListening as error:
-        raise BadConfig(f"RELAY_ACCEPT_FD: {error}") from error
-    except OSError as error:
-        raise BadConfig(f"listen: {error}") from error
-    control = None
-    if config.ops:
-        commands = Commands(
+            self.front.listen()
+            self.files = await FileService.start(config, self.core, directory)
+        except NotListening as error:
+            raise BadConfig(f"RELAY_ACCEPT_FD: {error}") from error
+        except OSError as error:
+            raise BadConfig(f"listen: {error}") from error
+        if config.ops:
+            try:
+                self.control = ControlListener(config.ops, self.commands())
+            except OSError as error:
+                raise BadConfig(f"ops: {error}") from error
+            self.control.start()
+        self.handed.start()
+        self.lives.start()
+
+    def commands(self) -> Commands:
+        front, directory = self.front, self.directory
+        return Commands(
             ready=lambda: bool(front.listener) and not front.closing and front.drain.says_up(front.ready()),
-            figures=lambda: figures.lines(
-                list(config.classes), len(directory.boxes), directory.down()
+            figures=lambda: self.figures.lines(
+                list(self.config.classes), len(directory.boxes), directory.down()
             ),
-            disable=handed.disable,
-            enable=handed.enable,
+            disable=self.handed.disable,
+            enable=self.handed.enable,
             drain=front.drained,
             resume=front.drain.resume,
         )
-        try:
-            control = ControlListener(config.ops, commands)
-        except OSError as error:
-            raise BadConfig(f"ops: {error}") from error
-        control.start()
-    handed.start()
-    lives.start()
-    gc.collect()
-    gc.freeze()  # what the start made stays; later collections pass over it
-    log.info("ready", name=config.name, listen=front.address, nodes=len(directory.boxes))
-    await stop.wait()
-    log.info("leaving", open=len(core.calls))
-    last = config.notice() - EXIT
-    front.leave(last)
-    linger = max(LINGER, last - ANSWERS * max(kind.aim for kind in config.settings.classes))
-
-    async def close_files() -> None:
-        await asyncio.sleep(LINGER)
-        await files.close(last - LINGER)
-
-    async def close_front() -> None:
-        await asyncio.sleep(linger)
-        await front.close()
 
+    def reload(self) -> None:
+        """SIGHUP: the file is read again, and kept out as a whole where it has a fault of whatever kind."""
+        try:
+            moved, waiting = self.config.reload(read_config(os.environ))
+        except Exception as error:  # a file under way can hold anything: no fault of it ends a front
+            self.figures.reconfig_failed += 1
+            log.error("reload_failed", why=str(error) or type(error).__name__)
+            return
+        self.figures.reconfig_ok += 1
+        log.info("reloaded", discovery=self.config.discovery, moved=moved, next_start=waiting)
+        if moved:
+            self.discovery.move(self.config.discovery)
+
+    async def serve(self) -> None:
+        """From the first client to the last answer."""
+        self.life.serves()
+        gc.collect()
+        gc.freeze()  # what the start made stays; later collections pass over it
+        log.info(
+            "ready", name=self.config.name, listen=self.front.address, nodes=len(self.directory.boxes)
+        )
+        await self.signalled.wait()
+        log.info("leaving", open=len(self.core.calls))
+        self.front.leave(self.life.last_answer() - self.loop.time())
+        closing: asyncio.Task[None] | None = None
+        while True:
+            sessions = 0 if closing is None else int(not closing.done())
+            for order in self.life.step(self.loop.time(), len(self.front.clients), sessions):
+                with self.faults.step(order.value):
+                    match order:
+                        case Order.CLOSE_FILES:
+                            patience = self.life.last_answer() - self.loop.time()
+                            closing = asyncio.create_task(self.files.close(patience))
+                        case Order.STOP_ACCEPTING:
+                            self.front.stop_accepting()
+                        case Order.ABANDON:
+                            log.warning("left_unanswered", open=len(self.core.calls))
+                        case Order.RELEASE:
+                            self.release()
+            if self.life.stage is Stage.CLOSING:
+                break
+            await asyncio.sleep(min(LOOK, max(0.0, self.life.next_at() - self.loop.time())))
+        listed = len(self.directory.boxes)
+        log.info(
+            "left", faults=self.figures.faults,
+            figures=" ".join(self.figures.lines(list(self.config.classes), listed, 0)),
+        )  # fmt: skip
+        self.life.released()
+
+    def release(self) -> None:
+        """Each by itself: one that cannot be given back must not keep the others, nor end the exit by a
+        fault."""
+        steps = {
+            "discovery": self.discovery.stop,
+            "boxes": self.boxes.close,
+            "holds": self.handed.stop,
+            "lives": self.lives.stop,
+            "ops": self.control.stop if self.control else lambda: None,
+        }
+        for name, act in steps.items():
+            with self.faults.step(name):
+                act()
+
+
+async def run(config: Config) -> Status:
+    """The whole life. A fault at the start is a ``BadConfig``; a later one is told and ends in status 1."""
+    daemon = Daemon(config)
+    try:
+        await daemon.start()
+    except BadConfig:
+        raise
+    except Exception as error:
+        daemon.faults.told("start_fault", error)
+        raise BadConfig(f"start: {type(error).__name__}: {error}") from error
     try:
-        async with asyncio.timeout(last):
-            await asyncio.gather(close_front(), close_files())
-    except TimeoutError:
-        log.warning("left_unanswered", open=len(core.calls))
-    discovery.stop()
-    boxes.close()
-    handed.stop()
-    lives.stop()
-    if control:
-        control.stop()
-    log.info("left", figures=" ".join(figures.lines(list(config.classes), len(directory.boxes), 0)))
+        await daemon.serve()
+    except Exception as error:
+        daemon.faults.told("serve_fault", error, stage=daemon.life.stage.value)
+    return daemon.life.status
 
 
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
     set_up_log()
     try:
-        asyncio.run(run(read_config(os.environ)))
+        return asyncio.run(run(read_config(os.environ))).value
     except BadConfig as error:
         print(f"cleatyoke: {error}", file=sys.stderr)
-        return 2
-    return 0
+        return Status.START.value
 
 
 if __name__ == "__main__":
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -190,10 +190,19 @@
             raise self.fail(key, "want a table")
         return Table(value, f"{self.path}{key}.")
 
+    def rows(self, key: str, default: list[Any] | None = None) -> list[Any]:
+        value = self.get(key, default)
+        if not isinstance(value, list):
+            raise self.fail(key, "want a list")
+        return value
+
     def tables(self, key: str, default: list[Any] | None = None) -> list[Table]:
+        """A list of tables, with one at the least unless the default is none."""
         value = self.get(key, default)
         if not isinstance(value, list) or not all(isinstance(one, Mapping) for one in value):
             raise self.fail(key, "want a list of tables")
+        if not value and default is None:
+            raise self.fail(key, "want one at the least")
         return [Table(one, f"{self.path}{key}[{place}].") for place, one in enumerate(value)]
 
     def nothing_else(self) -> None:
@@ -286,7 +295,7 @@
         values = json.loads(Path(path).read_bytes())
     except OSError as error:
         raise BadConfig(f"RELAY_CONFIG: cannot read {path}: {error.strerror}") from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise BadConfig(f"RELAY_CONFIG: {path} is no JSON: {error}") from error
     if not isinstance(values, dict):
         raise BadConfig(f"RELAY_CONFIG: {path} holds no object")
@@ -320,9 +329,9 @@
         classes=classes,
         plans=plans,
         give_up=[lane.positive("GiveUpS", math.inf) for lane in lanes],
-        writes=[bool(one) for one in extra.get("ChangesData", [])],
+        writes=[bool(one) for one in extra.rows("ChangesData", [])],
         shards=extra.whole("Shards", 0, 1 << 31, 0),
-        zones={zone: place for place, zone in enumerate(facts.get("Areas", []))},
+        zones={str(zone): place for place, zone in enumerate(facts.rows("Areas", []))},
         dial_timeout=limits.number("DialTimeoutS", 0.25),
         idle_close=limits.number("IdleCloseS", 30.0),
         sftp=sftp,
--- a/cleatyoke/figures.py
+++ b/cleatyoke/figures.py
@@ -23,6 +23,7 @@
         self.inflight = 0  # requests taken and not yet answered
         self.reconfig_ok = 0
         self.reconfig_failed = 0
+        self.faults = 0  # exceptions that nothing foresaw; in the log only
 
     def answered(self, class_name: str, status: int) -> None:
         self.ended[outcome_of(status)][class_name] += 1
--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -12,6 +12,8 @@
 from cleatyoke import api
 from cleatyoke.config import Address
 from cleatyoke.directory import Directory, Listing
+from cleatyoke.faults import Faults, keep_up
+from cleatyoke.figures import Figures
 from cleatyoke.net.messages import BadMessage, decode_listing
 from cleatyoke.recovery import Backoff
 
@@ -30,10 +32,11 @@
 
     def __init__(
         self, address: Address, directory: Directory, tell: Callable[[api.Event], None],
-        hosts: int = 1, seed: int = 0,
+        hosts: int = 1, seed: int = 0, faults: Faults | None = None,
     ) -> None:  # fmt: skip
         self.address, self.directory, self.tell = address, directory, tell
         self.hosts, self.dice = hosts, random.Random(seed)
+        self.faults = faults or Faults(Figures())
         self.heard = asyncio.Event()  # something, in this life
         self.watches: list[Watch] = []  # the last one is on the address that counts
 
@@ -70,7 +73,13 @@
         self.url, self.version = f"http://{host}:{address.port}/discovery/hosts", version
         self.backoff = Backoff(owner.dice, owner.hosts, EACH, MOST, LEAST)
         self.failed, self.answered = 0, False
-        self.owner, self.task = owner, asyncio.create_task(self.run())
+        self.owner = owner
+        self.task = asyncio.create_task(keep_up(owner.faults, "discovery", self.run, self.start_over))
+
+    def start_over(self) -> float:
+        """After a fault of our own: what it cut short may have held a change, so the whole list is next."""
+        self.version = None
+        return self.backoff.failed()
 
     async def run(self) -> None:
         """Where a change may have been missed, the whole list comes first."""
--- a/cleatyoke/net/handover.py
+++ b/cleatyoke/net/handover.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import fcntl
 import os
 import threading
@@ -17,6 +16,7 @@
 from cleatyoke import api
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
+from cleatyoke.faults import Beat, Faults
 
 NAME = "cleatyoke-holds.json"
 LOOK = 0.25  # seconds between looks at the file
@@ -26,19 +26,18 @@
 
 
 class HoldFile:
-    def __init__(self, folder: Path, directory: Directory, core: Core) -> None:
+    def __init__(self, folder: Path, directory: Directory, core: Core, faults: Faults) -> None:
         self.path, self.lock_path = folder / NAME, folder / (NAME + ".lock")
         self.directory, self.core, self.loop = directory, core, core.loop
         self.mutex = threading.Lock()
         self.seen: tuple[int, int] | None = None
-        self.bell: asyncio.TimerHandle | None = None
+        self.beat = Beat(faults, "holds", LOOK, self.look)
 
     def start(self) -> None:
-        self.look()
+        self.beat.start()
 
     def stop(self) -> None:
-        if self.bell:
-            self.bell.cancel()
+        self.beat.stop()
 
     def stamp(self) -> tuple[int, int] | None:
         try:
@@ -55,7 +54,7 @@
         self.seen = stamp
         try:
             text = self.path.read_text()
-        except OSError:
+        except (OSError, ValueError):  # no text at all
             return []
         taken, freed = self.directory.holds.adopt(text, self.core.now())
         return taken + freed
@@ -64,7 +63,6 @@
         with self.mutex:
             changed = self.take()
         self.tell(changed)
-        self.bell = self.loop.call_later(LOOK, self.look)
 
     def tell(self, names: list[str]) -> None:
         """On the loop: the policy and the box pools hear of holds taken or given back."""
@@ -108,10 +106,10 @@
     and while others live, each may use only its part of every limit. A mark of a process that died is passed
     over."""
 
-    def __init__(self, folder: Path, settings: api.Settings) -> None:
+    def __init__(self, folder: Path, settings: api.Settings, faults: Faults) -> None:
         self.folder, self.settings = folder, settings
         self.mark = folder / f"{MARK}{os.getpid()}"
-        self.bell: asyncio.TimerHandle | None = None
+        self.beat = Beat(faults, "lives", LIVES, self.count)
         try:
             self.mark.write_text("")
         except OSError as error:
@@ -140,10 +138,8 @@
         self.settings.limit_share = share
 
     def start(self) -> None:
-        self.count()
-        self.bell = asyncio.get_running_loop().call_later(LIVES, self.start)
+        self.beat.start()
 
     def stop(self) -> None:
-        if self.bell:
-            self.bell.cancel()
+        self.beat.stop()
         self.mark.unlink(missing_ok=True)
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -284,13 +284,17 @@
         are kept while it still serves, as their clients could come back by no other."""
         self.last_answer = self.core.now() + last
 
-    async def close(self) -> None:
-        """No new connections, no idle ones; then all that was taken is answered."""
+    def stop_accepting(self) -> None:
+        """No new connections, no idle ones; what was taken is answered, each answer with its close."""
         self.closing = True  # from now on each answer says that its connection ends
         if self.listener:
             self.listener.close()
         self.server.pre_shutdown()
         for client in list(self.idle):
             client.evict()
+
+    async def close(self) -> None:
+        """Stop accepting, and wait for the last answer."""
+        self.stop_accepting()
         while self.clients:
             await asyncio.sleep(0.02)
--- a/cleatyoke/net/sockets.py
+++ b/cleatyoke/net/sockets.py
@@ -87,9 +87,11 @@
     async def connect(self, protocol: asyncio.Protocol, connection: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: protocol, connection)
-        except OSError as error:
+        except Exception as error:  # whatever it is, its place is free again
             connection.close()
             protocol.connection_lost(error)
+            if not isinstance(error, OSError):
+                raise
 
     def close(self) -> None:
         if self.bell:
--- a/cleatyoke/vrrp.py
+++ b/cleatyoke/vrrp.py
@@ -195,5 +195,5 @@
             master = await self.news.get()
             try:
                 await self.changed(master)
-            except OSError as error:
-                log.error("vrrp_change_failed", master=master, why=str(error))
+            except Exception as error:  # the next change must still be told
+                log.error("vrrp_change_failed", master=master, why=f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/tests/test_exits.py
@@ -0,0 +1,209 @@
+"""Why a front exits, and why it does not: the leaving as a state machine, and a fault in each place."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cleatyoke import __main__ as daemon
+from cleatyoke.config import Address, BadConfig, read_config
+from cleatyoke.directory import Directory
+from cleatyoke.faults import Beat, Faults
+from cleatyoke.figures import Figures
+from cleatyoke.lifecycle import Lifecycle, Notice, Order, Stage, Status
+from cleatyoke.net.discovery import Discovery
+from tests.test_upgrade import start
+from tests.wire import FACTS, DiscoveryAgent
+
+
+def leaving(now: float = 100.0, notice: float = 2.2) -> Lifecycle:
+    life = Lifecycle(Notice.of(notice, [0.2, 0.2]))
+    life.serves()
+    life.asked(now)
+    return life
+
+
+class Leaving(unittest.TestCase):
+    def test_it_accepts_for_over_the_page_s_0_7_s_and_is_over_before_the_kill(self) -> None:
+        life = leaving()
+        self.assertEqual(life.step(100.74, 3, 0), [])
+        self.assertEqual(life.step(100.76, 3, 1), [Order.CLOSE_FILES])
+        self.assertEqual((life.step(100.8, 3, 1), life.stage), ([], Stage.ACCEPTING))
+        self.assertAlmostEqual(life.next_at(), 101.65)
+        self.assertEqual(life.step(101.65, 3, 1), [Order.STOP_ACCEPTING])
+        self.assertEqual(life.step(101.8, 0, 1), [])  # a file command is still at work
+        self.assertEqual(life.step(102.06, 2, 0), [Order.ABANDON, Order.RELEASE])
+        life.released()
+        self.assertEqual((life.stage, life.status), (Stage.ENDED, Status.LEFT))
+
+    def test_it_ends_with_the_last_answer_and_not_before_accepting_has_ended(self) -> None:
+        life = leaving()
+        self.assertEqual(life.step(101.0, 0, 0), [Order.CLOSE_FILES])
+        self.assertEqual(life.step(101.6, 0, 0), [])  # nothing is open, and new connections may still come
+        self.assertEqual(life.step(101.66, 0, 0), [Order.STOP_ACCEPTING])
+        self.assertEqual(life.step(101.67, 0, 0), [Order.RELEASE])
+
+    def test_a_second_signal_changes_nothing_and_one_amid_the_start_counts_from_when_it_came(self) -> None:
+        life = leaving()
+        self.assertFalse(life.asked(101.5))
+        self.assertAlmostEqual(life.last_answer(), 102.05)
+        early = Lifecycle(Notice.of(2.2, [0.2]))
+        self.assertTrue(early.asked(50.0))
+        self.assertEqual((early.step(50.9, 0, 0), early.status), ([], Status.START))
+        early.serves()
+        self.assertEqual(early.step(51.0, 0, 0), [Order.CLOSE_FILES])
+
+    @given(st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(0, 2), st.integers(0, 1)), max_size=40),
+           st.floats(0.7, 3.7), st.floats(0.01, 3.0))  # fmt: skip
+    def test_whatever_comes_each_order_is_given_once_in_turn_and_all_by_the_last_moment(
+        self, moments: list[tuple[float, int, int]], notice: float, aim: float
+    ) -> None:
+        life = Lifecycle(Notice.of(notice, [aim]))
+        life.serves()
+        life.asked(0.0)
+        now, orders = 0.0, []
+        for wait, connections, files in [*moments, (notice + 1.0, 1, 1), (0.0, 1, 1), (0.0, 1, 1)]:
+            now += wait
+            given_now = life.step(now, connections, files)
+            if Order.STOP_ACCEPTING in given_now:
+                self.assertGreaterEqual(now, 0.75)
+            if Order.RELEASE in given_now:
+                self.assertTrue(now >= life.notice.last or not connections + files)
+            orders += given_now
+            if life.stage is not Stage.CLOSING:
+                self.assertLess(life.next_at(), float("inf"))  # it never waits for what may not come
+        self.assertEqual([one for one in orders if one is not Order.ABANDON],
+                         [Order.CLOSE_FILES, Order.STOP_ACCEPTING, Order.RELEASE])  # fmt: skip
+
+
+class Faulty(unittest.IsolatedAsyncioTestCase):
+    async def test_a_beat_goes_on_after_a_call_that_raises(self) -> None:
+        figures, calls = Figures(), []
+
+        def act() -> None:
+            calls.append(0)
+            if len(calls) == 1:
+                raise RuntimeError("once")
+
+        beat = Beat(Faults(figures), "test", 0.01, act)
+        beat.start()
+        await asyncio.sleep(0.06)
+        beat.stop()
+        self.assertGreater(len(calls), 2)
+        self.assertEqual(figures.faults, 1)
+
+    async def test_a_lost_task_and_a_callback_that_raises_are_counted_and_end_nothing(self) -> None:
+        figures, loop = Figures(), asyncio.get_running_loop()
+        Faults(figures).watch(loop)
+        loop.call_soon(lambda: [][0])
+
+        async def dies() -> None:
+            raise KeyError("nobody awaits this")
+
+        task = asyncio.create_task(dies())
+        await asyncio.sleep(0.01)
+        del task
+        self.assertEqual(figures.faults, 2)
+
+    async def test_a_watch_that_dies_of_a_fault_of_ours_is_taken_up_again_with_the_whole_list(self) -> None:
+        whole = {"generation": 4, "reset": True, "instances": []}
+        agent = await DiscoveryAgent(whole, []).start()
+        figures, directory, took = Figures(), Directory({}), []
+        discovery = Discovery(
+            Address("127.0.0.1", agent.port), directory, took.append, faults=Faults(figures)
+        )
+        with mock.patch.object(directory, "apply", side_effect=[IndexError("a fault of ours"), []]):
+            discovery.start()
+            async with asyncio.timeout(5):
+                while not took:
+                    await asyncio.sleep(0.01)
+        self.assertEqual(figures.faults, 1)
+        self.assertEqual(agent.asked[:2], ["/discovery/hosts", "/discovery/hosts"])
+        discovery.stop()
+        agent.stop()
+
+
+class Exits(unittest.IsolatedAsyncioTestCase):
+    """The daemon as a process: its exit status and what its log says."""
+
+    async def ended(self, folder: str, signals: list[int], broken: str = "") -> tuple[int, bytes]:
+        """Start it, break the named file of TMPDIR once it serves, send the signals; status and log."""
+        process = await start(folder, {"TMPDIR": folder}, ())
+        assert process.stderr
+        log = b""
+        async with asyncio.timeout(15):
+            while b"event='ready'" not in log:
+                line = await process.stderr.readline()
+                if not line:
+                    break
+                log += line
+            if broken:
+                path = Path(folder) / broken.replace("PID", str(process.pid))
+                path.unlink(missing_ok=True)
+                path.mkdir()
+                await asyncio.sleep(0.4)  # looks at it meanwhile
+            for number in signals:
+                process.send_signal(number)
+                await asyncio.sleep(0.1)
+            log += await process.stderr.read()
+            return await process.wait(), log
+
+    async def test_signals_in_a_row_leave_once_with_status_0(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            status, log = await self.ended(
+                folder, [signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP, signal.SIGINT]
+            )
+        self.assertEqual(status, 0, log)
+        self.assertEqual((log.count(b"event='leaving'"), log.count(b"event='left'")), (1, 1), log)
+
+    async def test_what_cannot_be_given_back_is_told_and_the_exit_is_still_0(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            status, log = await self.ended(folder, [signal.SIGTERM], broken="cleatyoke-life-PID")
+            os.rmdir(next(Path(folder).glob("cleatyoke-life-*")))
+        self.assertEqual(status, 0, log)
+        self.assertIn(b"event='step_fault'", log)
+        self.assertIn(b"event='left'", log)
+
+    async def test_holds_that_cannot_be_read_end_neither_the_process_nor_the_looks(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            (Path(folder) / "cleatyoke-holds.json").write_bytes(b"\xff\xfe\x00")
+            status, log = await self.ended(folder, [signal.SIGTERM])
+        self.assertEqual(status, 0, log)
+        self.assertNotIn(b"fault'", log)
+
+    async def test_an_unforeseen_fault_at_the_start_is_status_2_with_one_line(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+                                        "settings": FACTS}))  # fmt: skip
+            config = read_config({"RELAY_CONFIG": str(path), "TMPDIR": folder})
+            with (
+                mock.patch.object(daemon.Front, "listen", side_effect=RuntimeError("odd")),
+                self.assertRaisesRegex(BadConfig, "start: RuntimeError: odd"),
+            ):
+                await daemon.run(config)
+
+    def test_files_that_once_raised_something_else_are_named_faults(self) -> None:
+        for change, word in (
+            ({"Lanes": []}, "settings.Lanes: want one"),
+            ({"Contracts": []}, "settings.Contracts: want one"),
+            ({"Extra": {"ChangesData": 7}}, "settings.Extra.ChangesData: want a list"),
+            ({"Areas": 3}, "settings.Areas: want a list"),
+            (None, "RELAY_CONFIG: "),
+        ):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "config.json"
+                values = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}
+                path.write_text("[" * 100_000 if change is None
+                                else json.dumps({**values, "settings": {**FACTS, **change}}))  # fmt: skip
+                with self.assertRaisesRegex(BadConfig, word):
+                    read_config({"RELAY_CONFIG": str(path)})
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -14,6 +14,7 @@
 from cleatyoke import api
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
+from cleatyoke.faults import Faults
 from cleatyoke.figures import Figures
 from cleatyoke.maintenance import Holds
 from cleatyoke.net.boxes import Boxes
@@ -156,7 +157,7 @@
         self.url = f"http://127.0.0.1:{self.front.address.port}"
         self.core.tell(listed(self.directory, instance("s-a", self.box.port), whole=True))
         self.folder = tempfile.TemporaryDirectory()
-        self.handed = HoldFile(Path(self.folder.name), self.directory, self.core)
+        self.handed = HoldFile(Path(self.folder.name), self.directory, self.core, Faults(self.boxes.figures))
         self.handed.start()
 
     async def asyncTearDown(self) -> None:
@@ -197,7 +198,7 @@
             self.assertEqual(len(self.box.heads), 1)
             other = Directory({})
             listed(other, instance("s-a", self.box.port), whole=True)
-            HoldFile(Path(self.folder.name), other, self.core).look()
+            HoldFile(Path(self.folder.name), other, self.core, self.handed.beat.faults).look()
             self.assertTrue(other.holds.holds("s-a"))
             self.assertTrue(await asyncio.to_thread(self.handed.enable, "s-a"))
             await asyncio.sleep(0.01)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,6 +13,8 @@
 
 import aiohttp
 
+from cleatyoke.faults import Faults
+from cleatyoke.figures import Figures
 from cleatyoke.net.sockets import NotListening, take_listening
 from tests.wire import FACTS
 
@@ -95,7 +97,7 @@
         settings = config().settings
         with tempfile.TemporaryDirectory() as folder:
             (Path(folder) / f"{MARK}{2**22 + 7}").write_text("")  # a process that died
-            lives = Lives(Path(folder), settings)
+            lives = Lives(Path(folder), settings, Faults(Figures()))
             self.assertEqual(settings.limit_share, 1.0)
             (Path(folder) / f"{MARK}{os.getppid()}").write_text("")  # one that lives
             lives.start()
