--- /dev/null
+++ b/cleatyoke/standin/__main__.py
@@ -0,0 +1,32 @@
+"""``python -m cleatyoke.standin FILE...``: play scenarios, report each; status 1 for a broken rule."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+from cleatyoke.config import BadConfig
+from cleatyoke.standin.play import play
+from cleatyoke.standin.scenario import read_scenario
+
+
+def main(names: list[str]) -> int:
+    if not names:
+        print("usage: python -m cleatyoke.standin FILE...", file=sys.stderr)
+        return 2
+    broken = False
+    for name in names:
+        try:
+            scenario = read_scenario(Path(name))
+        except BadConfig as error:
+            print(f"standin: {error}", file=sys.stderr)
+            return 2
+        report = asyncio.run(play(scenario))
+        print("\n".join(report.lines()))
+        broken = broken or bool(report.broken)
+    return int(broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/cleatyoke/standin/agent.py
@@ -0,0 +1,103 @@
+"""Discovery as the fronts' machines have it: one registry, an agent for each front, its troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from cleatyoke.standin.judge import Judge
+from cleatyoke.standin.peer import Peer
+
+IDLE = 2.0  # seconds after which an empty line comes
+
+
+class Registry:
+    """What discovery knows: each change has a version."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.entries: dict[str, dict[str, Any]] = {}
+        self.changes: list[tuple[int, dict[str, Any]]] = []
+        self.changed = asyncio.Condition()
+
+    async def set(self, name: str, **facts: Any) -> None:
+        """A box is new or has changed; ``lifecycle`` DELETED takes it out."""
+        entry = {**self.entries.get(name, {"instanceId": name}), **facts}
+        self.version += 1
+        self.changes.append((self.version, entry))
+        self.entries[name] = entry
+        if entry["lifecycle"] == "DELETED":
+            del self.entries[name]
+        async with self.changed:
+            self.changed.notify_all()
+
+    def listing(self, after: int | None = None) -> dict[str, Any]:
+        """The whole list, or what changed after that version."""
+        if after is None:
+            return {"generation": self.version, "reset": True, "instances": list(self.entries.values())}
+        latest = {entry["instanceId"]: entry for version, entry in self.changes if version > after}
+        return {"generation": self.version, "reset": False, "instances": list(latest.values())}
+
+
+class Agent(Peer):
+    """The agent of one front. ``late``: seconds by which it passes on what it hears. ``spoils``: what it
+    serves in place of a list (``garble``, ``empty``, ``silent``), or nothing."""
+
+    def __init__(
+        self, front: int, registry: Registry, judge: Judge, clock: Callable[[], float]
+    ) -> None:
+        super().__init__()
+        self.front, self.registry, self.judge, self.clock = front, registry, judge, clock
+        self.late, self.spoils = 0.0, ""
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            target = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
+            while self.spoils == "silent":
+                await asyncio.sleep(0.1)
+            if "watch=1" in target:
+                await self.watch(writer, int(target.partition("after=")[2] or 0))
+            else:
+                await self.whole(writer)
+
+    async def whole(self, writer: asyncio.StreamWriter) -> None:
+        body = {"garble": b'{"generation": "x", "instances": [', "empty": b""}.get(self.spoils)
+        listing = self.registry.listing()
+        if body is None:
+            body = json.dumps(listing).encode()
+            self.tell(listing)
+        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        await writer.drain()
+
+    async def watch(self, writer: asyncio.StreamWriter, after: int) -> None:
+        writer.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
+        first = True
+        while not writer.transport.is_closing():
+            if self.registry.version > after or first:
+                await asyncio.sleep(self.late)
+                listing = self.registry.listing(after)
+                after, first = int(listing["generation"]), False
+                line = {"garble": b'{"generation":', "empty": b""}.get(self.spoils)
+                if line is None:
+                    line = json.dumps(listing).encode()
+                    self.tell(listing)
+                self.chunk(writer, line)
+                await writer.drain()
+                continue
+            try:
+                async with asyncio.timeout(IDLE), self.registry.changed:
+                    await self.registry.changed.wait()
+            except TimeoutError:
+                self.chunk(writer, b"")
+
+    def chunk(self, writer: asyncio.StreamWriter, line: bytes) -> None:
+        writer.write(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+
+    def tell(self, listing: dict[str, Any]) -> None:
+        """Once it is written, the front counts as told."""
+        now = self.clock()
+        for entry in listing["instances"]:
+            serving = entry["lifecycle"] == "SERVING"
+            self.judge.drains(self.front, entry["instanceId"], None if serving else now)
--- /dev/null
+++ b/cleatyoke/standin/box.py
@@ -0,0 +1,129 @@
+"""A stand-in box on loopback: the platform's box protocol around a ``BoxModel``."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections import Counter
+from collections.abc import Callable
+
+from cleatyoke.standin.judge import Attempt, Judge
+from cleatyoke.standin.model import BoxModel, Fate
+from cleatyoke.standin.peer import Peer
+
+FULL = b"HTTP/1.1 503 X\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
+OTHER = b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n"
+SPOILT = b"HTTP/1.1 200 X\r\nContent-Length: 9\r\nX-Half"
+LINGER = struct.pack("ii", 1, 0)  # a close with it is a reset
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+    writer.transport.abort()
+
+
+class Box(Peer):
+    """A box under one id, at one address for all its lives. ``silent``: connections come up and nothing is
+    read, as where the machine is cut off."""
+
+    def __init__(self, name: str, cell: int, zone: str, judge: Judge, clock: Callable[[], float]) -> None:
+        super().__init__()
+        self.name, self.cell, self.zone = name, cell, zone
+        self.judge, self.clock = judge, clock
+        self.model: BoxModel
+        self.heard = asyncio.Event()  # cleared while the box is silent
+        self.heard.set()
+        self.fates: Counter[str] = Counter()
+        self.executions: dict[str, int] = {}
+
+    async def live(self, model: BoxModel) -> None:
+        """A life of it."""
+        self.model = model
+        await self.start()
+
+    def end(self, writer: asyncio.StreamWriter) -> None:
+        """As when its process dies: connections are reset, and new ones are refused."""
+        reset(writer)
+
+    def silence(self, on: bool) -> None:
+        if on:
+            self.heard.clear()
+        else:  # what stood through it is reset once the machine is back
+            self.heard.set()
+            for writer in list(self.writers):
+                reset(writer)
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await self.heard.wait()
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            await self.heard.wait()
+            lines = head.split("\r\n")
+            fields = {name.lower(): value for name, _, value in (one.partition(": ") for one in lines)}
+            await reader.readexactly(int(fields.get("content-length", 0)))
+            if not await self.work(fields.get("x-trace-id", ""), reader, writer):
+                return
+
+    async def work(self, trace: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """One request whose last byte has come; whether the connection goes on."""
+        now, model = self.clock(), self.model
+        if trace not in self.judge.asked:
+            writer.write(OTHER)
+            return True
+        units = self.judge.asked[trace].units
+        made = self.judge.attempt(trace, self.name, now)
+        if model.born is not None and now - model.born < model.power.ramp:
+            power = model.power
+            self.judge.bears(
+                self.name, now, units, power.tip_multiple * model.rate(now) * power.tip_after
+            )
+        ticket = model.take(now, trace, units)
+        self.fates[ticket.fate.value] += 1
+        try:
+            if ticket.fate is Fate.FULL:
+                made.refused = True
+                writer.write(FULL)
+                return True
+            if ticket.fate is Fate.UNREAD:
+                reset(writer)
+                return False
+            gone = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait({gone}, timeout=max(0.0, ticket.ends - now))
+            if gone.done():  # its front gave up, or left
+                made.ran = not model.withdraw(self.clock(), ticket)
+                self.count(trace, made)
+                return False
+            gone.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await gone
+            made.ran = True
+            self.count(trace, made)
+            await self.heard.wait()
+            return await self.reply(ticket.fate, trace, reader, writer)
+        finally:
+            made.ended = self.clock()
+
+    def count(self, trace: str, made: Attempt) -> None:
+        if made.ran:
+            self.executions[trace] = self.executions.get(trace, 0) + 1
+
+    async def reply(
+        self, fate: Fate, trace: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        body = f"{trace} {self.name} {self.executions[trace]}".encode()
+        report = f"TEXT queue={self.model.queued(self.clock())}, util={self.model.busy(self.clock()):.2f}"
+        if fate is Fate.RESET:
+            reset(writer)
+            return False
+        if fate is Fate.LOST:
+            await reader.read(1)  # until the front gives up
+            return False
+        if fate is Fate.SPOILT:
+            writer.write(SPOILT)
+            return False
+        head = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\nEndpoint-Load-Metrics: {report}\r\n\r\n"
+        writer.write(head.encode() + body)
+        return True
--- /dev/null
+++ b/cleatyoke/standin/clients.py
@@ -0,0 +1,128 @@
+"""Clients of the platform's protocol: they keep connections and open more when all are busy."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+
+from cleatyoke.standin.judge import Asked, Judge
+from cleatyoke.standin.scenario import Scenario
+
+PLANS = ("public", "research")  # of a volume, by its number; the first has the limit
+CROSSED = 0.1  # seconds after a request in which the end of its connection can have crossed it
+SPARE = 0.6  # seconds past its deadline that a client stays, to see an answer that is late
+
+
+class Door:
+    """What clients know of one front: its address, the connections kept, and whether new ones come to it."""
+
+    def __init__(self, front: int, port: int) -> None:
+        self.front, self.port = front, port
+        self.kept: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        self.open = False
+
+    async def connection(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        while self.kept:
+            reader, writer = self.kept.pop()
+            if not reader.at_eof() and not writer.transport.is_closing():
+                return reader, writer
+            writer.transport.abort()
+        if not self.open:
+            return None
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    def forget(self) -> None:
+        for _, writer in self.kept:
+            writer.transport.abort()
+        self.kept.clear()
+
+
+class Clients:
+    """The load of a scenario, the same requests in every run: who asks for what is drawn from its seed."""
+
+    def __init__(
+        self, scenario: Scenario, judge: Judge, doors: list[Door], clock: Callable[[], float]
+    ) -> None:
+        self.scenario, self.judge, self.doors, self.clock = scenario, judge, doors, clock
+        self.dice = random.Random(scenario.seed)
+        self.unsent = 0  # their front took no connection: it was down
+        self.unread = 0  # a connection ended as they asked, and so they asked once more
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        load, began, at = self.scenario.load, self.clock(), 0.0
+        while True:
+            surge = load.surge_at <= at < load.surge_at + load.surge_s
+            at += self.dice.expovariate(load.rate * (load.surge if surge else 1.0))
+            if at > self.scenario.seconds:
+                break
+            await asyncio.sleep(max(0.0, began + at - self.clock()))
+            volume = 0 if self.dice.random() < load.hot else self.dice.randrange(load.volumes)
+            through = (volume // self.scenario.boxes + self.dice.randrange(load.hosts)) % len(self.doors)
+            trace, block = (f"{self.dice.getrandbits(64):016x}" for _ in range(2))
+            write = self.dice.random() < load.writes
+            task = asyncio.create_task(self.ask(trace, block, volume, self.doors[through], write))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        await asyncio.gather(*self.tasks)
+
+    async def ask(self, trace: str, block: str, volume: int, door: Door, write: bool) -> None:
+        """One request, from its connection to the one answer."""
+        scenario = self.scenario
+        body = b"scan" if write else b""
+        message = (
+            f"{'PUT' if write else 'GET'} /api?block={block} HTTP/1.1\r\n"
+            f"Host: front\r\nX-Trace-Id: {trace}\r\nX-Qos: {'record-write' if write else 'tile-read'}\r\n"
+            f"X-Plan: {PLANS[volume % 2]}\r\nX-Expires-In-Ms: {int(scenario.deadline * 1000)}\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            f"X-IO: volume={volume:016x},units={scenario.load.units},"
+            f"shard={volume % scenario.boxes},hosts={scenario.load.hosts}\r\n"
+            "\r\n"
+        ).encode() + body
+        now = self.clock()
+        asked = Asked(door.front, volume, write, scenario.load.units, now, now + scenario.deadline)
+        for _ in range(2):
+            try:
+                connection = await door.connection()
+            except OSError:
+                connection = None
+            if connection is None:
+                self.unsent += 1
+                asked.excused = True
+                self.judge.took(trace, asked)
+                return
+            self.judge.took(trace, asked)
+            if await self.exchange(trace, message, connection, door, asked):
+                return
+            self.unread += 1
+
+    async def exchange(
+        self, trace: str, message: bytes, connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        door: Door, asked: Asked,
+    ) -> bool:  # fmt: skip
+        """Whether that was all. A connection that ends without a byte may have crossed the request."""
+        reader, writer = connection
+        head, sent = b"", self.clock()
+        try:
+            writer.write(message)
+            async with asyncio.timeout_at(asked.deadline + SPARE):
+                head = await reader.readuntil(b"\r\n\r\n")
+                lines = head.decode("latin-1").lower().split("\r\n")
+                length = next((int(one[15:]) for one in lines if one.startswith("content-length:")), 0)
+                body = await reader.readexactly(length)
+        except (OSError, EOFError, TimeoutError) as error:
+            writer.transport.abort()
+            ended = isinstance(error, OSError) or (
+                isinstance(error, asyncio.IncompleteReadError) and not error.partial and not head
+            )
+            crossed = ended and not asked.attempts and self.clock() - sent < CROSSED
+            return not crossed or asked.excused
+        self.judge.answer(trace, int(lines[0].split()[1]), body, self.clock())
+        if "connection: close" in lines:
+            with contextlib.suppress(OSError):
+                writer.close()
+        else:
+            door.kept.append(connection)
+        return True
--- /dev/null
+++ b/cleatyoke/standin/model.py
@@ -0,0 +1,88 @@
+"""How a stand-in box works: its power, its queue, and what troubles do to a request. No socket or clock."""
+
+from __future__ import annotations
+
+import zlib
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from cleatyoke.standin.scenario import BoxPower
+
+
+class Fate(Enum):
+    """What becomes of one request at a box."""
+
+    ANSWERED = "answered"
+    FULL = "full"  # turned away, unrun, and told so
+    UNREAD = "unread"  # the connection is reset and nothing has run
+    RESET = "reset"  # it runs, and the connection is reset before the answer
+    LOST = "lost"  # it runs, and the answer never comes
+    SPOILT = "spoilt"  # it runs, and what comes back is no answer
+
+
+@dataclass(slots=True)
+class Ticket:
+    """A request that the box has taken in: from when to when it works on it."""
+
+    fate: Fate
+    begins: float = 0.0
+    ends: float = 0.0
+
+
+def chance(seed: int, trace: str) -> float:
+    """A number from 0 to 1 that an id draws, the same in every run and whatever else happens."""
+    return zlib.crc32(f"{seed}:{trace}".encode()) / 2**32
+
+
+@dataclass(slots=True)
+class BoxModel:
+    """One life of a box: it works on one request after the other, slower while it is cold."""
+
+    power: BoxPower
+    born: float | None  # when it started, or None: long ago, so it is warm
+    seed: int = 0
+    free_at: float = 0.0
+    ends: deque[float] = field(default_factory=deque)  # of the requests in work or waiting, in turn
+    ailing: dict[str, float] = field(default_factory=dict)  # trouble: part of the requests that it meets
+
+    def rate(self, now: float) -> float:
+        """Units a second that it can do at this moment."""
+        if self.born is None or now - self.born >= self.power.ramp:
+            return self.power.units
+        age = max(0.0, now - self.born) / self.power.ramp
+        return self.power.units * (self.power.cold_from + (1 - self.power.cold_from) * age)
+
+    def take(self, now: float, trace: str, units: float) -> Ticket:
+        """A request whose last byte has come."""
+        draw = chance(self.seed, trace)
+        if draw < self.ailing.get("reset", 0.0) / 2:
+            return Ticket(Fate.UNREAD)
+        while self.ends and self.ends[0] <= now:
+            self.ends.popleft()
+        if len(self.ends) > self.power.queue:
+            return Ticket(Fate.FULL)
+        begins = max(now, self.free_at)
+        speed = self.rate(begins) * self.ailing.get("slow", 1.0)
+        self.free_at = begins + units / speed
+        self.ends.append(self.free_at)
+        fate = Fate.ANSWERED
+        for kind, met in (("reset", Fate.RESET), ("lose_answers", Fate.LOST), ("spoil", Fate.SPOILT)):
+            if draw < self.ailing.get(kind, 0.0):
+                fate = met
+        return Ticket(fate, begins, self.free_at)
+
+    def withdraw(self, now: float, ticket: Ticket) -> bool:
+        """Its front has gone: whether it was still waiting, and so never runs."""
+        if now >= ticket.begins:
+            return False
+        self.free_at -= ticket.ends - ticket.begins
+        self.ends.pop()
+        return True
+
+    def busy(self, now: float) -> float:
+        """The part of its power in use, as its load reports tell."""
+        return min(1.0, max(0.0, self.free_at - now) * 2)
+
+    def queued(self, now: float) -> int:
+        return sum(1 for end in self.ends if end > now)
--- /dev/null
+++ b/cleatyoke/standin/play.py
@@ -0,0 +1,341 @@
+"""A play: fronts as real processes, the stand-ins around them, the troubles in their time, and the report."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from cleatyoke.standin.agent import Agent, Registry
+from cleatyoke.standin.box import Box
+from cleatyoke.standin.clients import PLANS, Clients, Door
+from cleatyoke.standin.judge import Judge
+from cleatyoke.standin.model import BoxModel
+from cleatyoke.standin.scenario import BOX_TROUBLES, FRONT_TROUBLES, Scenario, Trouble
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+START = 15.0  # seconds for a front to be ready
+OPEN = 0.3  # seconds after SIGTERM in which new connections keep coming (protocol page: 0.2 to 0.4 s)
+KILL = 0.7  # seconds more than the deadline from SIGTERM to SIGKILL
+DOWN = 0.3  # seconds between a front's end and its next start
+DRAIN = 1.5  # seconds for which a box that is replaced is listed as draining
+SPOILS = {"garble_lists": "garble", "empty_lists": "empty", "silent_lists": "silent"}
+
+
+@dataclass(slots=True)
+class Report:
+    """What came of a play. ``broken`` is empty where every rule was kept and no front exited unasked."""
+
+    scenario: str
+    seconds: float
+    requests: int = 0
+    answers: Counter[str] = field(default_factory=Counter)
+    served: float = 0.0  # part of the requests whose front was there
+    attempts: int = 0
+    executions: int = 0
+    most_runs_of_a_write: int = 0
+    starts: int = 0
+    fates: Counter[str] = field(default_factory=Counter)  # what became of the requests at the boxes
+    broken: list[str] = field(default_factory=list)
+    log: Counter[str] = field(default_factory=Counter)  # event: lines, over all fronts
+
+    def lines(self) -> list[str]:
+        answers = " ".join(f"{name}={count}" for name, count in sorted(self.answers.items()))
+        events = " ".join(f"{name}={count}" for name, count in sorted(self.log.items()))
+        return [
+            f"{self.scenario}: {self.requests} requests in {self.seconds:g} s, {answers}",
+            f"served {self.served:.3f} of those whose front was there; attempts {self.attempts}, "
+            f"executions {self.executions}, most of one write {self.most_runs_of_a_write}; "
+            f"front starts {self.starts}",
+            "at the boxes: " + " ".join(f"{name}={count}" for name, count in sorted(self.fates.items())),
+            f"log lines: {events}",
+            *(f"BROKEN {one}" for one in self.broken[:20]),
+            f"rules {'kept' if not self.broken else f'broken {len(self.broken)} times'}",
+        ]
+
+
+class FrontProcess:
+    """One front as a process under its name: started, signalled, waited for; its log is read by the line."""
+
+    def __init__(self, number: int, folder: Path, port: int, play: Play) -> None:
+        self.number, self.folder, self.play = number, folder, play
+        self.door = Door(number, port)
+        self.process: asyncio.subprocess.Process | None = None
+        self.asked = False  # to end
+        self.ready = asyncio.Event()
+        self.watching: asyncio.Task[None] | None = None
+
+    def write(self, **changes: Any) -> None:
+        scenario, play = self.play.scenario, self.play
+        values = {
+            "name": f"n{self.number}",
+            "listen": f"127.0.0.1:{self.door.port}",
+            "discovery": f"127.0.0.1:{play.agents[self.number].port}",
+            "seed": f"{scenario.seed * 1000 + self.number:x}",
+            "known": play.registry.listing(),
+            "settings": play.settings(),
+            **changes,
+        }
+        spare = self.folder / "config.new"
+        spare.write_text(json.dumps(values))
+        os.replace(spare, self.folder / "config.json")
+
+    async def start(self) -> None:
+        self.play.report.starts += 1
+        self.asked = False
+        self.ready.clear()
+        kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**kept, "RELAY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder)},
+        )  # fmt: skip
+        self.watching = asyncio.create_task(self.watch(self.process))
+        async with asyncio.timeout(START):
+            await self.ready.wait()
+        self.door.open = True
+
+    async def watch(self, process: asyncio.subprocess.Process) -> None:
+        """Read its log to the end, and judge its exit."""
+        assert process.stderr
+        last = ""
+        while line := (await process.stderr.readline()).decode(errors="replace"):
+            if "event='" in line:
+                event = line.partition("event='")[2].partition("'")[0]
+                self.play.report.log[event] += 1
+                if event == "ready":
+                    self.ready.set()
+            last = line.strip()
+        status = await process.wait()
+        self.door.open = False
+        if not self.asked or status not in (0, -signal.SIGKILL):
+            self.play.judge.faults.append(f"exit: front {self.number} with status {status}: {last[-200:]}")
+        self.ready.set()
+
+    async def leave(self) -> None:
+        """A planned restart's first half: SIGTERM, and SIGKILL where it does not end in its time."""
+        assert self.process and self.watching
+        self.asked = True
+        self.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(OPEN)
+        self.door.open = False
+        try:
+            async with asyncio.timeout(self.play.scenario.deadline + KILL - OPEN):
+                await asyncio.shield(self.watching)
+        except TimeoutError:
+            self.play.judge.faults.append(f"exit: front {self.number} was not gone before its kill")
+            self.process.kill()
+            await self.watching
+        self.door.forget()
+
+    async def kill(self) -> None:
+        assert self.process and self.watching
+        self.asked, self.door.open = True, False
+        self.play.judge.killed(self.number, self.play.clock())
+        self.process.kill()
+        await self.watching
+        self.door.forget()
+
+
+class Play:
+    """One play of a scenario."""
+
+    def __init__(self, scenario: Scenario, folder: Path) -> None:
+        self.scenario, self.folder = scenario, folder
+        self.clock = asyncio.get_running_loop().time
+        self.unix = time.time() - self.clock()
+        self.report = Report(scenario.name, scenario.seconds)
+        self.slack = float(2 * scenario.load.units)
+        self.judge = Judge(scenario.limit, scenario.limit, self.slack)
+        self.registry = Registry()
+        self.boxes: list[Box] = []
+        self.retired: list[Box] = []
+        self.agents: list[Agent] = []
+        self.fronts: list[FrontProcess] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def settings(self) -> dict[str, Any]:
+        """The settings that the platform's first message would give."""
+        scenario, power = self.scenario, self.scenario.power
+        plan = {"BaseRate": 8.0, "FloorRate": 4.0, "Proportion": 1.0, "WorthFactor": 1.0}
+        limit = {"Limit": scenario.limit, "LimitBurst": scenario.limit, "CapSlack": self.slack}
+        lane = {"AimS": 0.3, "GiveUpS": scenario.deadline, "LateShare": 0.1}
+        return {
+            "Areas": scenario.zones,
+            "Contracts": [
+                {"Name": PLANS[0], **plan, **(limit if scenario.limit else {})}, {"Name": PLANS[1], **plan},
+            ],
+            "Lanes": [
+                {"Name": "tile-read", "Repeat": "repeatable", "Worth": 3.0, **lane},
+                {"Name": "record-write", "Repeat": "once", "Worth": 2.0, **lane},
+            ],
+            "PolicyLimits": {"Cancel": True, "SendCap": 4, "DialTimeoutS": 0.25, "IdleCloseS": 30.0,
+                             "RetryAfter": True, "MaxRetryAfterS": 5.0},
+            "Safety": {"ColdFrom": power.cold_from, "RampTimeS": power.ramp,
+                       "TipMultiple": power.tip_multiple, "TipAfterS": power.tip_after},
+            "Extra": {"ColdUnits": power.units * power.cold_from * power.tip_after * power.tip_multiple,
+                      "Largest": scenario.load.units, "MeanUnits": scenario.load.units, "WithinShare": 0.35,
+                      "ChangesData": [False, True], "Shards": scenario.boxes},
+            "Siblings": scenario.fronts,
+        }  # fmt: skip
+
+    # Boxes
+
+    async def add_box(self, cell: int, name: str, born: float | None, model_seed: int) -> Box:
+        box = Box(name, cell, self.scenario.zone_of(cell), self.judge, self.clock)
+        await box.live(BoxModel(self.scenario.power, born, model_seed))
+        await self.list_box(box)
+        return box
+
+    async def list_box(self, box: Box, lifecycle: str = "SERVING") -> None:
+        born = box.model.born
+        started = 0 if born is None else int((born + self.unix) * 1000)
+        await self.registry.set(
+            box.name, hostPort=f"127.0.0.1:{box.port}", zone=box.zone, machineType="m1", cell=box.cell,
+            lifecycle=lifecycle, weight=1.0, startedAtMs=started,
+        )  # fmt: skip
+
+    async def trouble_box(self, cell: int, trouble: Trouble) -> None:
+        box = self.boxes[cell]
+        match trouble.kind:
+            case "replace":  # by one with a new id, cold, that holds the same
+                await self.list_box(box, "DRAINING")
+                self.boxes[cell] = await self.add_box(
+                    cell, f"{box.name}+", self.clock(), self.scenario.seed + cell + 1000
+                )
+                await asyncio.sleep(DRAIN)
+                await self.list_box(box, "DELETED")
+                await asyncio.sleep(self.scenario.deadline)
+                box.stop()
+                self.retired.append(box)
+            case "drain":  # with nobody in its place, for a while
+                await self.list_box(box, "DRAINING")
+                await asyncio.sleep(trouble.lasts)
+                await self.list_box(box)
+            case "restart":  # it dies, is back after a while under its id, and is cold
+                box.stop()
+                await asyncio.sleep(trouble.lasts)
+                await box.live(BoxModel(self.scenario.power, self.clock(), box.model.seed))
+                await self.list_box(box)
+            case "silence":
+                box.silence(True)
+                await asyncio.sleep(trouble.lasts)
+                box.silence(False)
+            case kind:
+                box.model.ailing[kind] = trouble.share
+                await asyncio.sleep(trouble.lasts)
+                box.model.ailing.pop(kind, None)
+
+    # Fronts and lists
+
+    async def trouble_front(self, number: int, trouble: Trouble) -> None:
+        front = self.fronts[number]
+        match trouble.kind:
+            case "roll" | "kill":
+                await (front.leave() if trouble.kind == "roll" else front.kill())
+                await asyncio.sleep(DOWN)
+                front.write()
+                await front.start()
+            case "reload":  # discovery moves to another agent
+                old = self.agents[number]
+                self.agents[number] = await self.add_agent(number)
+                front.write()
+                if front.process and front.process.returncode is None and front.ready.is_set():
+                    front.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(trouble.lasts)
+                old.stop()
+
+    async def add_agent(self, front: int) -> Agent:
+        agent = Agent(front, self.registry, self.judge, self.clock)
+        await agent.start()
+        return agent
+
+    async def trouble_lists(self, number: int, trouble: Trouble) -> None:
+        agent = self.agents[number]
+        if trouble.kind == "late_lists":
+            agent.late = trouble.share
+        else:
+            agent.spoils = SPOILS[trouble.kind]
+        await asyncio.sleep(trouble.lasts)
+        agent.late, agent.spoils = 0.0, ""
+
+    async def trouble(self, trouble: Trouble) -> None:
+        await asyncio.sleep(trouble.at)
+        act: Callable[[int, Trouble], Awaitable[None]] = self.trouble_lists
+        if trouble.kind in BOX_TROUBLES:
+            act = self.trouble_box
+        elif trouble.kind in FRONT_TROUBLES:
+            act = self.trouble_front
+        step = trouble.over / max(1, len(trouble.of))
+
+        async def one(place: int, subject: int) -> None:
+            await asyncio.sleep(place * step)
+            await act(subject, trouble)
+
+        await asyncio.gather(*(one(place, subject) for place, subject in enumerate(trouble.of)))
+
+    # The play
+
+    async def run(self) -> Report:
+        scenario = self.scenario
+        for cell in range(scenario.boxes):
+            self.boxes.append(await self.add_box(cell, f"s-{cell:03d}", None, scenario.seed + cell))
+        for number in range(scenario.fronts):
+            self.agents.append(await self.add_agent(number))
+            home = self.folder / f"n{number}"
+            home.mkdir()
+            self.fronts.append(FrontProcess(number, home, free_port(), self))
+            self.fronts[-1].write()
+        try:
+            await asyncio.gather(*(front.start() for front in self.fronts))
+            clients = Clients(scenario, self.judge, [front.door for front in self.fronts], self.clock)
+            await asyncio.gather(clients.run(), *(self.trouble(one) for one in scenario.troubles))
+            await asyncio.gather(*(front.leave() for front in self.fronts))
+        finally:
+            for front in self.fronts:
+                if front.process and front.process.returncode is None:
+                    front.asked = True
+                    front.process.kill()
+                    await front.process.wait()
+            for peer in (*self.boxes, *self.retired, *self.agents):
+                peer.stop()
+        return self.sum_up(clients)
+
+    def sum_up(self, clients: Clients) -> Report:
+        report, asked = self.report, self.judge.asked
+        report.requests = len(asked)
+        for one in asked.values():
+            name = "unsent" if one.excused else "none" if one.status is None else str(one.status)
+            report.answers[name] += 1
+        there = report.requests - report.answers["unsent"]
+        report.served = report.answers["200"] / max(1, there)
+        report.attempts = sum(len(one.attempts) for one in asked.values())
+        report.executions = sum(made.ran for one in asked.values() for made in one.attempts)
+        report.most_runs_of_a_write = max(
+            (sum(made.ran for made in one.attempts) for one in asked.values() if one.write), default=0
+        )
+        for box in (*self.boxes, *self.retired):
+            report.fates.update(box.fates)
+        report.broken = self.judge.broken(self.scenario.power.tip_after)
+        return report
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+async def play(scenario: Scenario) -> Report:
+    """Play a scenario from its start to the exit of every front."""
+    with tempfile.TemporaryDirectory() as folder:
+        return await Play(scenario, Path(folder)).run()
--- /dev/null
+++ b/tests/test_standin.py
@@ -0,0 +1,166 @@
+"""The stand-in fleet: its judge and models by themselves, and fronts as processes under scripted troubles."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from pathlib import Path
+
+from cleatyoke.config import BadConfig
+from cleatyoke.standin.judge import Asked, Judge
+from cleatyoke.standin.model import BoxModel, Fate, chance
+from cleatyoke.standin.play import Report, play
+from cleatyoke.standin.scenario import BoxPower, make_scenario, read_scenario
+
+SCENARIOS = Path(__file__).resolve().parent / "scenarios"
+
+
+class JudgeCase(unittest.TestCase):
+    """Each rule is broken once, and beside it what only looks like it."""
+
+    def setUp(self) -> None:
+        self.judge = Judge(limit=10.0, burst=10.0, slack=2.0)
+        self.judge.took("w", Asked(0, 1, True, 2.0, 10.0, 11.5))
+        self.judge.took("r", Asked(0, 1, False, 2.0, 10.0, 11.5))
+
+    def rules(self) -> list[str]:
+        return [line.partition(":")[0] for line in self.judge.broken(1.0)]
+
+    def end(self) -> None:
+        for trace in ("w", "r"):
+            if self.judge.asked[trace].status is None:
+                self.judge.answer(trace, 502, b"", 10.5)
+
+    def test_a_request_without_an_answer_is_lost_unless_its_front_was_killed(self) -> None:
+        self.judge.answer("r", 503, b"", 11.9)  # late by less than half a second
+        self.assertEqual(self.rules(), ["lost"])
+        self.judge.killed(0, 11.0)
+        self.assertEqual(self.rules(), [])
+
+    def test_late_second_and_foreign_answers_are_told(self) -> None:
+        self.judge.answer("w", 200, b"r s-0 1", 12.1)
+        self.judge.answer("r", 200, b"r s-0 1", 10.2)
+        self.judge.answer("r", 200, b"r s-0 1", 10.3)
+        self.assertEqual(self.rules(), ["foreign", "answers", "late"])
+
+    def test_a_write_that_ran_twice_or_was_refused_after_it_may_have_run(self) -> None:
+        for trace in ("w", "r"):
+            for at in (10.0, 10.2):
+                made = self.judge.attempt(trace, "s-0", at)
+                made.ran, made.ended = True, at + 0.1
+        self.judge.answer("w", 503, b"", 10.4)
+        self.end()
+        self.assertEqual(self.rules(), ["repeated write", "refused write"])  # the read may repeat
+
+    def test_a_refusal_that_its_box_proved_is_none_of_a_write_that_ran(self) -> None:
+        made = self.judge.attempt("w", "s-0", 10.0)
+        made.refused, made.ended = True, 10.0
+        self.judge.answer("w", 503, b"", 10.1)
+        self.end()
+        self.assertEqual(self.rules(), [])
+
+    def test_two_attempts_out_and_more_than_four(self) -> None:
+        first = self.judge.attempt("r", "s-0", 10.0)
+        second = self.judge.attempt("r", "s-1", 10.2)
+        first.ended, second.ended = 10.25, 10.3  # its end was on the way
+        for at in (10.4, 10.5, 10.6):
+            self.judge.attempt("r", "s-0", at).ended = at
+        self.end()
+        self.assertEqual(self.rules(), ["attempts"])
+        first.ended = 10.6
+        self.assertEqual(self.rules(), ["twice out", "attempts"])
+
+    def test_a_box_that_drains_hears_nothing_later_than_a_second_after_the_word(self) -> None:
+        self.judge.drains(0, "s-0", 9.0)
+        self.judge.drains(0, "s-0", 9.9)  # told again: the first word counts
+        self.judge.attempt("r", "s-0", 10.04).ended = 10.1
+        self.judge.attempt("r", "s-0", 10.2).ended = 10.3
+        self.judge.drains(0, "s-0", None)  # it serves again
+        self.judge.attempt("r", "s-0", 12.0).ended = 12.1
+        self.end()
+        self.assertEqual(self.rules(), ["drain"])
+
+    def test_a_cold_box_is_held_to_its_window_and_a_volume_to_its_limit(self) -> None:
+        for at in (10.0, 10.5, 11.2):
+            self.judge.bears("s-0", at, 4.0, 8.0)
+        self.end()
+        self.assertEqual(self.rules(), [])
+        self.judge.bears("s-0", 11.4, 4.0, 8.0)
+        for number in range(9):
+            trace = f"x{number}"
+            self.judge.took(trace, Asked(number, 4, False, 2.0, 10.0, 11.5))
+            self.judge.attempt(trace, "s-1", 10.0 + number / 100).ended = 10.2
+            self.judge.answer(trace, 502, b"", 10.3)
+        self.assertEqual(self.rules(), ["cold", "limit"])
+
+
+class ModelCase(unittest.TestCase):
+    power = BoxPower(units=20.0, queue=2, cold_from=0.2, ramp=4.0, tip_multiple=2.0, tip_after=1.0)
+
+    def test_a_cold_box_works_slowly_and_a_full_one_turns_away(self) -> None:
+        warm, cold = BoxModel(self.power, None), BoxModel(self.power, 10.0)
+        self.assertAlmostEqual(warm.take(10.0, "a", 2.0).ends, 10.1)
+        self.assertAlmostEqual(cold.take(10.0, "a", 2.0).ends, 10.5)
+        self.assertAlmostEqual(cold.rate(12.0), 12.0)
+        fates = [warm.take(10.0, str(number), 2.0).fate for number in range(4)]
+        self.assertEqual(fates, [Fate.ANSWERED, Fate.ANSWERED, Fate.FULL, Fate.FULL])
+
+    def test_what_waits_can_be_withdrawn_and_what_works_cannot(self) -> None:
+        box = BoxModel(self.power, None)
+        first, second = box.take(10.0, "a", 2.0), box.take(10.0, "b", 2.0)
+        self.assertFalse(box.withdraw(10.01, first))
+        self.assertTrue(box.withdraw(10.01, second))
+        self.assertAlmostEqual(box.free_at, 10.1)
+
+    def test_the_same_ids_meet_the_same_troubles_in_every_run(self) -> None:
+        box = BoxModel(self.power, None, seed=3)
+        box.ailing["lose_answers"] = 0.25
+        fates = [box.take(float(number), f"t{number}", 1.0).fate for number in range(400)]
+        self.assertEqual(fates.count(Fate.LOST), sum(chance(3, f"t{n}") < 0.25 for n in range(400)))
+        self.assertTrue(60 < fates.count(Fate.LOST) < 140)
+
+
+class ScenarioCase(unittest.TestCase):
+    def test_faults_are_named(self) -> None:
+        good = {"fleet": {"fronts": 2, "boxes": 4, "seconds": 3.0}, "load": {"rate": 10}}
+        self.assertEqual(make_scenario("x", good).load.volumes, 16)
+        for change, word in (
+            ({"load": {"rate": 0}}, "x: load.rate: want a positive"),
+            ({"load": {"rate": 5, "speed": 1}}, "x: load.speed: unknown key"),
+            ({"trouble": [{"at": 1, "kind": "flood"}]}, "kind: want one of"),
+            ({"trouble": [{"at": 1, "kind": "slow", "of": [4]}]}, "of: want numbers from 0 to 3"),
+            ({"trouble": [{"at": 1, "kind": "slow", "zone": "attic"}]}, "zone: want one of"),
+        ):
+            with self.assertRaisesRegex(BadConfig, word):
+                make_scenario("x", {**good, **change})
+
+
+class Plays(unittest.TestCase):
+    """Fronts as real processes; the same requests and troubles in every run."""
+
+    def play(self, name: str) -> Report:
+        report = asyncio.run(play(read_scenario(SCENARIOS / f"{name}.toml")))
+        self.assertEqual(report.broken, [], "\n".join(report.lines()))
+        self.assertLessEqual(report.most_runs_of_a_write, 1)
+        self.assertEqual(report.log["left"], report.log["leaving"])
+        self.assertEqual([event for event in report.log if event.endswith("_fault")], [])
+        return report
+
+    def test_a_roll_with_replaced_boxes_a_reload_and_spoilt_lists(self) -> None:
+        report = self.play("roll")
+        self.assertEqual((report.starts, report.log["leaving"], report.log["reloaded"]), (10, 10, 5))
+        self.assertGreater(report.log["discovery_line_skipped"], 0)  # the trouble was met
+        self.assertGreater(report.served, 0.55)
+
+    def test_a_zone_that_is_lost_and_returns_cold_amid_a_surge(self) -> None:
+        report = self.play("zone")
+        self.assertGreater(report.fates["spoilt"], 10)
+        self.assertGreater(report.answers["503"], 100)  # what a lost zone's data is asked for, at once
+        self.assertGreater(report.served, 0.35)
+
+    def test_a_split_with_late_lists_lost_answers_resets_and_killed_fronts(self) -> None:
+        report = self.play("split")
+        self.assertEqual((report.starts, report.log["leaving"]), (7, 5))
+        for fate in ("lost", "reset", "unread"):
+            self.assertGreater(report.fates[fate], 3, fate)
+        self.assertGreater(report.served, 0.5)
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -13,6 +13,7 @@
 from cleatyoke.config import Address, Config, Shares
 from cleatyoke.directory import Directory, Instance, Listing
 from cleatyoke.sftp import packets as p
+from cleatyoke.standin.peer import Peer
 from tests.host import class_spec, plan_spec, settings
 
 FACTS: dict[str, Any] = {
@@ -65,42 +66,6 @@
     return api.NodeList(kind, directory.apply(Listing(1, whole, list(instances))))
 
 
-class Peer:
-    """A listener whose connections are handled by the subclass; ``open`` counts those that stand."""
-
-    def __init__(self) -> None:
-        self.port, self.open, self.accepted = 0, 0, 0
-        self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self) -> Any:
-        self.server = await asyncio.start_server(self.connected, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.accepted += 1
-        self.open += 1
-        self.writers.add(writer)
-        try:
-            await self.converse(reader, writer)
-        except (EOFError, OSError):
-            pass
-        finally:
-            self.open -= 1
-            self.writers.discard(writer)
-            writer.transport.abort()
-
-    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        raise NotImplementedError
-
-    def stop(self) -> None:
-        if self.server:
-            self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
-
-
 Script = Callable[[str], Awaitable[bytes | None]]  # trace id -> a whole answer, or None to break off
 
 
