Take new settings at SIGHUP, and hold a limit over two processes by the time each part held

Cause of 2, by reading and by a test: a limit's store fills when it is looked at, by the share of that moment for all the time since the last look. A volume that the new process was first asked for after the old one had ended filled from the process's start at the full rate, though the old one had used half of it; and the new process took half of the slack at once and counted time before the old one had seen its mark.

Change: ShareClock counts time by the part that held; a change of the part is an event; a process that starts beside an older one begins with nothing and from when its mark can have been seen. retune.py (no I/O) keeps the place of each class and plan by name; the policy takes api.Retuned: new classes get a bound, those gone give theirs back, what is under way keeps its class, fewer attempts bind at once. A file that lacks a key that the last one had is turned down whole. Not taken: a new policy beside the old one until that is empty: two would decide over one set of slots.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -86,16 +86,15 @@
     def __init__(self, config: Config) -> None:
         self.config, self.loop = config, asyncio.get_running_loop()
         settings = config.settings
-        self.life = Lifecycle(Notice.of(config.notice(), [kind.aim for kind in settings.classes]))
+        self.life = Lifecycle(self.notice())
         self.signalled = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.asked)
         self.figures = Figures()
         self.faults = Faults(self.figures)
         self.faults.watch(self.loop)
-        settings.quiet_since = BEGAN
         # first: an older process hears of this one at once
-        self.lives = Lives(config.state_dir, settings, self.faults)
+        self.lives = Lives(config.state_dir, settings, self.faults, BEGAN)
         self.core, self.directory = Core(settings), Directory(config.zones)
         self.boxes = Boxes(
             self.directory, config.dial_timeout, config.idle_close, config.shares.boxes, self.figures
@@ -143,7 +142,7 @@
                 raise BadConfig(f"ops: {error}") from error
             self.control.start()
         self.handed.start()
-        self.lives.start()
+        self.lives.start(self.core.tell)
 
     def commands(self) -> Commands:
         front, directory = self.front, self.directory
@@ -161,16 +160,26 @@
     def reload(self) -> None:
         """SIGHUP: the file is read again, and kept out as a whole where it has a fault of whatever kind."""
         try:
-            moved, waiting = self.config.reload(read_config(os.environ))
+            taken = self.config.reload(read_config(os.environ))
         except Exception as error:  # a file under way can hold anything: no fault of it ends a front
             self.figures.reconfig_failed += 1
             log.error("reload_failed", why=str(error) or type(error).__name__)
             return
         self.figures.reconfig_ok += 1
-        log.info("reloaded", discovery=self.config.discovery, moved=moved, next_start=waiting)
-        if moved:
+        settings = self.config.settings
+        log.info(
+            "reloaded", discovery=self.config.discovery, moved=taken.moved, next_start=taken.waiting,
+            retuned=taken.retired is not None, classes=list(self.config.classes),
+        )  # fmt: skip
+        if taken.retired is not None:
+            self.core.tell(api.Retuned(settings, taken.retired))
+            self.life.retime(self.notice())
+        if taken.moved:
             self.discovery.move(self.config.discovery)
 
+    def notice(self) -> Notice:
+        return Notice.of(self.config.notice(), [kind.aim for kind in self.config.settings.classes])
+
     async def serve(self) -> None:
         """From the first client to the last answer."""
         self.life.serves()
--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -108,7 +108,8 @@
     within_share: float
     tells_others: bool = False  # nodes say what they served a volume through other hosts
     quiet_since: float | None = None  # from then on this host has sent nothing; None: from its first step
-    limit_share: float = 1.0  # of each limit that this process may use: less while another of this host lives
+    limit_share: float = 1.0  # of each limit that this process may use at its start: see ``Shared``
+    taken_over: bool = False  # an older process of this host lives as this one starts: it has the slack
     retry_after: float = 0.0  # longest time that clients heed; 0: they are not told when to come back
 
 
@@ -176,7 +177,24 @@
     token: int
 
 
-Event = NodeList | Arrival | Ended | Withdrawn | Woken
+@dataclass(slots=True)
+class Shared:
+    """Event: from now on this process may use so much of each limit, 1 at the most, as other processes of its
+    host live beside it, which use the rest."""
+
+    part: float
+
+
+@dataclass(slots=True)
+class Retuned:
+    """Event: new settings, for requests that come from now on; classes and plans keep their places, new ones
+    stand behind them. ``retired``: the places of classes that are gone; what is under way keeps its class."""
+
+    settings: Settings
+    retired: frozenset[int] = frozenset()
+
+
+Event = NodeList | Arrival | Ended | Withdrawn | Woken | Shared | Retuned
 
 
 @dataclass(slots=True)
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from cleatyoke import api
+from cleatyoke.retune import Places, follow_settings, missing, shape
 
 REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
@@ -83,6 +84,15 @@
         return cls(half, sockets // 6, half, sessions)
 
 
+@dataclass(slots=True, frozen=True)
+class Reloaded:
+    """What a reload took."""
+
+    moved: bool  # discovery is at another address
+    waiting: list[str]  # changed keys that count from the next start
+    retired: frozenset[int] | None  # places of classes that are gone; None: the settings are as they were
+
+
 @dataclass(slots=True)
 class Config:
     name: str
@@ -106,24 +116,46 @@
     accept_fd: int | None = None  # a listening socket handed down by the platform, in place of ``listen``
     ops: Address | None = None  # the operators' control address
     state_dir: Path = Path("/tmp")  # $TMPDIR: what both processes of an upgrade share
+    keys: frozenset[str] = frozenset()  # that the file holds, as paths
+    places: tuple[Places, Places] | None = None  # of classes and plans, once a reload has changed them
 
     def notice(self) -> float:
         """Seconds from SIGTERM to SIGKILL: the longest deadline, 3 s at the most, and 0.7 s more."""
-        return min(3.0, max(self.give_up)) + 0.7
-
-    def reload(self, new: Config) -> tuple[bool, list[str]]:
-        """Take what a reload takes: the address of discovery, where the file names a new one. It wins
-        over RELAY_DISCOVERY, as a running process cannot be given another. Returns whether it moved, and the
-        changed keys that wait for the next start; ``known`` and ``seed`` count at a start only."""
-        new.settings.seed, new.settings.quiet_since = self.settings.seed, self.settings.quiet_since
-        kept = ("name", "listen", "accept_fd", "ops", "state_dir", "shares", "settings", "classes", "plans",
-                "dial_timeout", "idle_close", "sftp", "vrrp")  # fmt: skip
+        return min(3.0, max(self.give_up[place] for place in self.classes.values())) + 0.7
+
+    def reload(self, new: Config) -> Reloaded:
+        """Take what a reload takes: the settings (of classes and plans, attempts, limits), and the address of
+        discovery, where the file names a new one. That wins over RELAY_DISCOVERY, as a running process cannot
+        be given another. ``known`` and ``seed`` count at a start only. A file that lacks a key that the last
+        one had is a ``BadConfig``, and nothing is taken from it."""
+        if lost := missing(self.keys, new.keys):
+            raise BadConfig(f"{lost}: missing, and the file had it before")
+        kept = ("name", "listen", "accept_fd", "ops", "state_dir", "shares", "dial_timeout", "idle_close",
+                "sftp", "vrrp")  # fmt: skip
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
+        self.keys = new.keys
+        retired = self.follow(new)
         moved = new.file_discovery != self.file_discovery
         self.file_discovery = new.file_discovery
         if moved:
             self.discovery = new.file_discovery
-        return moved, waiting
+        return Reloaded(moved, waiting, retired)
+
+    def follow(self, new: Config) -> frozenset[int] | None:
+        """Take the new settings; the places of classes that are gone, or None where nothing changed."""
+        names, plan_names = list(new.classes), list(new.plans)
+        old = self.places or (Places.of(list(self.classes)), Places.of(list(self.plans)))
+        classes, plans = old[0].follow(names), old[1].follow(plan_names)
+        settings = follow_settings(self.settings, new.settings, classes, names, plans, plan_names)
+        give_up = classes.arrange(self.give_up, names, new.give_up)
+        said = self.writes or [False] * len(old[0].ever)
+        writes = classes.arrange(said, names, new.writes) if new.writes else []
+        facts = (settings, classes.live, plans.live, new.shards, give_up, writes)
+        if facts == (self.settings, self.classes, self.plans, self.shards, self.give_up, self.writes):
+            return None
+        self.places = classes, plans
+        self.settings, self.classes, self.plans, self.shards, self.give_up, self.writes = facts
+        return classes.retired()
 
 
 @dataclass(slots=True)
@@ -318,6 +350,7 @@
         return root.address(key)
 
     return Config(
+        keys=shape({key: value for key, value in values.items() if key not in ("known", "seed")}),
         name=environment.get("RELAY_NAME") or root.text("name"),
         listen=address("RELAY_LISTEN", "listen"),
         discovery=address("RELAY_DISCOVERY", "discovery"),
--- a/cleatyoke/lifecycle.py
+++ b/cleatyoke/lifecycle.py
@@ -83,6 +83,11 @@
             self.stage = Stage.ACCEPTING
         return True
 
+    def retime(self, notice: Notice) -> None:
+        """Settings have changed, and with them the notice; a leaving that has begun keeps its own."""
+        if self.asked_at == math.inf:
+            self.notice = notice
+
     def last_answer(self) -> float:
         """By when each answer is due, whatever its own deadline; infinite while nobody asked to leave."""
         return self.asked_at + self.notice.last
--- a/cleatyoke/net/handover.py
+++ b/cleatyoke/net/handover.py
@@ -9,6 +9,8 @@
 import fcntl
 import os
 import threading
+import time
+from collections.abc import Callable
 from pathlib import Path
 
 import structlog
@@ -21,6 +23,7 @@
 NAME = "cleatyoke-holds.json"
 LOOK = 0.25  # seconds between looks at the file
 MARK = "cleatyoke-life-"
+HEARD = 0.15  # seconds after its mark from which a new process counts on its part: the others have seen it
 LIVES = 0.05  # seconds between counts of the processes that live: the slack of a limit is spent in 0.3 s
 log = structlog.get_logger()
 
@@ -104,17 +107,24 @@
 class Lives:
     """The processes of this front that live at once, as during an upgrade: each leaves a mark in ``$TMPDIR``,
     and while others live, each may use only its part of every limit. A mark of a process that died is passed
-    over."""
+    over.
 
-    def __init__(self, folder: Path, settings: api.Settings, faults: Faults) -> None:
-        self.folder, self.settings = folder, settings
+    Made at the start, it tells the settings what this process may use from when: where an older one lives, no
+    part of the slack, as that one has it, and nothing of the time before that one has heard of this."""
+
+    def __init__(self, folder: Path, settings: api.Settings, faults: Faults, began: float) -> None:
+        self.folder = folder
         self.mark = folder / f"{MARK}{os.getpid()}"
         self.beat = Beat(faults, "lives", LIVES, self.count)
+        self.tell: Callable[[api.Event], None] = lambda event: None
         try:
             self.mark.write_text("")
         except OSError as error:
             log.warning("life_not_marked", why=str(error))
-        self.count()
+        others = self.others()
+        self.part = 1.0 / (1 + others)
+        settings.limit_share, settings.taken_over = self.part, others > 0
+        settings.quiet_since = time.time() + HEARD if others else began
 
     def others(self) -> int:
         alive = 0
@@ -132,12 +142,15 @@
         return alive
 
     def count(self) -> None:
-        share = 1.0 / (1 + self.others())
-        if share != self.settings.limit_share:
-            log.info("limits_shared", share=share)
-        self.settings.limit_share = share
-
-    def start(self) -> None:
+        part = 1.0 / (1 + self.others())
+        if part != self.part:
+            self.part = part
+            log.info("limits_shared", share=part)
+            self.tell(api.Shared(part))
+
+    def start(self, tell: Callable[[api.Event], None]) -> None:
+        """``tell``: how the policy hears of a change."""
+        self.tell = tell
         self.beat.start()
 
     def stop(self) -> None:
--- /dev/null
+++ b/cleatyoke/retune.py
@@ -0,0 +1,81 @@
+"""Settings that change while a front runs: which of two settings holds for what. No input, output or clock.
+
+Classes and plans are known to clients by name and to the policy by place. A name keeps its place for the life
+of the process, as requests under way and bounds hang on it; a new name takes the next one, and one that goes
+leaves its place retired until it comes back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
+from typing import Any, TypeVar
+
+from cleatyoke import api
+
+T = TypeVar("T")
+RETIRED = 1e-9  # worth of a class that is gone: it takes no part in what is shared out by worth
+
+
+@dataclass(slots=True, frozen=True)
+class Places:
+    """Names with their places, and all names that ever had one."""
+
+    live: dict[str, int]
+    ever: dict[str, int]
+
+    @classmethod
+    def of(cls, names: Sequence[str]) -> Places:
+        places = {name: place for place, name in enumerate(names)}
+        return cls(places, dict(places))
+
+    def follow(self, names: Sequence[str]) -> Places:
+        ever = dict(self.ever)
+        for name in names:
+            ever.setdefault(name, len(ever))
+        return Places({name: ever[name] for name in names}, ever)
+
+    def retired(self) -> frozenset[int]:
+        return frozenset(self.ever.values()) - frozenset(self.live.values())
+
+    def arrange(self, old: Sequence[T], names: Sequence[str], new: Sequence[T]) -> list[T]:
+        """Values by place: the new ones for their names, the old ones where a name is gone."""
+        rows = [*old, *[None] * (len(self.ever) - len(old))]
+        for name, value in zip(names, new):
+            rows[self.live[name]] = value
+        return [row for row in rows if row is not None]
+
+
+def follow_settings(
+    old: api.Settings, new: api.Settings, classes: Places, class_names: Sequence[str],
+    plans: Places, plan_names: Sequence[str],
+) -> api.Settings:  # fmt: skip
+    """The settings that hold from now on: the new ones with every class and plan at its place, and what
+    belongs to this life of the process (its seed, when it began) as it was."""
+    kinds = classes.arrange(old.classes, class_names, new.classes)
+    for place in classes.retired():
+        kinds[place] = replace(kinds[place], worth=RETIRED)
+    return replace(
+        new, classes=kinds, plans=plans.arrange(old.plans, plan_names, new.plans), seed=old.seed,
+        quiet_since=old.quiet_since, limit_share=old.limit_share, taken_over=old.taken_over,
+    )  # fmt: skip
+
+
+def shape(value: Any, path: str = "") -> frozenset[str]:
+    """The paths of all keys that a file holds; of a list's tables, those that every one of them has."""
+    if isinstance(value, Mapping):
+        found: set[str] = set()
+        for key, one in value.items():
+            found.add(f"{path}{key}")
+            found |= shape(one, f"{path}{key}.")
+        return frozenset(found)
+    if isinstance(value, list) and value and all(isinstance(one, Mapping) for one in value):
+        return frozenset.intersection(*(shape(one, path[:-1] + "[].") for one in value))
+    return frozenset()
+
+
+def missing(old: frozenset[str], new: frozenset[str]) -> str | None:
+    """The first key that the file had and has no more: a file that is written halfway, or by a faulty hand,
+    must change nothing, even where the key has a default."""
+    lost = sorted(old - new)
+    return lost[0] if lost else None
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -13,7 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
-from cleatyoke.state import Agenda, Node, Request, Store, Volume, forget_before
+from cleatyoke.state import Agenda, Node, Request, ShareClock, Store, Volume, forget_before
 
 INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds trail a surge
 FIT = 5  # intervals in a slope fit: the design's
@@ -36,12 +36,8 @@
     """One host's state machine: ``step`` takes the time and the events, and returns the actions."""
 
     def __init__(self, settings: api.Settings) -> None:
-        count, self.worths = len(settings.classes), [kind.worth for kind in settings.classes]
-        self.settings, self.safety, self.hosts = settings, settings.safety, max(1, settings.hosts)
-        self.queue_aim = QUEUE_SHARE * min(kind.aim for kind in settings.classes)
-        weights = sum(plan.weight for plan in settings.plans) / count or 1.0
-        self.spare = sum(plan.rate for plan in settings.plans) / weights or 1.0  # also the least
-        self.dearest = max(self.worths) * max(plan.worth for plan in settings.plans) * settings.within_share
+        count = len(settings.classes)
+        self.tune(settings)
         self.busy = 1.0  # mean part of the nodes' power in use, as they report; at first unknown
         self.pace = 0.0  # seconds of service a unit at any node: what a new one is taken to need
         self.requests: dict[str, Request] = {}
@@ -62,18 +58,27 @@
         self.agenda = Agenda()
         self.touched: dict[int, Node] = {}  # nodes that may have something new to choose
         self.doubtful: list[Request] = []  # if still held after this step, is there any use in waiting?
-        self.interval_at = self.born = self.bell_at = self.quiet = math.inf
+        self.interval_at = self.born = self.bell_at = math.inf
         self.now, self.dice = 0.0, random.Random(settings.seed)
         self.actions: list[api.Action] = []
         if settings.must_watch:
             self.agenda.add(-math.inf, None)
 
+    def tune(self, settings: api.Settings) -> None:
+        """Take the settings, and what only they decide."""
+        self.settings, self.safety, self.hosts = settings, settings.safety, max(1, settings.hosts)
+        self.worths = [kind.worth for kind in settings.classes]
+        self.queue_aim = QUEUE_SHARE * min(kind.aim for kind in settings.classes)
+        weights = sum(plan.weight for plan in settings.plans) / len(settings.classes) or 1.0
+        self.spare = sum(plan.rate for plan in settings.plans) / weights or 1.0  # also the least
+        self.dearest = max(self.worths) * max(plan.worth for plan in settings.plans) * settings.within_share
+
     def step(self, now: float, events: list[api.Event]) -> list[api.Action]:
         self.now, self.actions = now, []
         if self.born == math.inf:
             self.born = self.interval_at = now
             since = self.settings.quiet_since
-            self.quiet = now if since is None else min(now, since)
+            self.share = ShareClock(self.settings.limit_share, now if since is None else min(now, since))
         if now >= self.interval_at + INTERVAL:
             self.control()
         for event in events:
@@ -88,6 +93,10 @@
                     self.on_ended(event, self.requests[event.request])
                 case api.Withdrawn(name) if name in self.requests:
                     self.close(self.requests[name], None)
+                case api.Shared(part):
+                    self.share.change(part, now)
+                case api.Retuned():
+                    self.on_retuned(event)
         while self.agenda.next_at() <= now:
             self.look(self.agenda.take())
         self.dispatch()
@@ -271,8 +280,9 @@
         part = self.reserve_here(event.volume, plan.reserve, hosts)
         ceiling = part + self.settings.largest if part else 0.0
         if event.volume not in self.volumes:
-            since = max(self.quiet, self.now - IDLE / 2)  # since when none is used
-            allowed = Store(plan.limit_slack * SLACK_SHARE / hosts, since)
+            since = max(0.0, self.share.time(self.now) - IDLE / 2)  # since when none is used
+            slack = 0.0 if self.settings.taken_over else plan.limit_slack * SLACK_SHARE
+            allowed = Store(slack / hosts, since)
             self.volumes[event.volume] = Volume(Store(ceiling, self.now), allowed)
         volume = self.volumes[event.volume]
         volume.reserve.fill(part, ceiling, self.now)
@@ -395,6 +405,21 @@
         if units < self.settings.largest or queued < node.queued:  # the largest may be more than they count
             node.queued += gain * (queued - node.queued)
 
+    def on_retuned(self, event: api.Retuned) -> None:
+        """Classes come and go at run time: a new one starts with an even part of the bounds, one that is gone
+        gives its part back. What is under way keeps its class, as the requests hold it themselves."""
+        self.tune(event.settings)
+        count, fresh = len(event.settings.classes), len(event.settings.classes) - len(self.bounds)
+        even = 1.0 / max(1, count - len(event.retired))
+        parts = [0.0 if index in event.retired else bound or even
+                 for index, bound in enumerate(self.bounds + [0.0] * fresh)]
+        self.bounds = [part / (sum(parts) or 1.0) for part in parts]
+        self.asks = list(self.bounds)
+        self.history = [[] for _ in range(count)]
+        self.waited, self.answered = self.waited + [0.0] * fresh, self.answered + [0] * fresh
+        for node in self.nodes.values():
+            node.add_classes(fresh)
+
     def on_list(self, event: api.NodeList) -> None:
         if event.kind is ListKind.LOST:
             self.agenda.add(self.now + (self.safety.ask_every or INTERVAL) / 4, None)
@@ -460,10 +485,9 @@
         plan = self.settings.plans[request.ask.plan]
         if not plan.limit or request.sends:
             return self.now
-        share = self.settings.limit_share / request.hosts  # two processes of an upgrade are one host
-        store, rate = request.volume.limit, plan.limit * share
-        store.fill(rate, plan.limit_burst * share, self.now)
-        return self.now + max(0.0, request.units - store.level) / rate
+        store, rate, part = request.volume.limit, plan.limit / request.hosts, self.share.part
+        store.fill(rate, plan.limit_burst * part / request.hosts, self.share.time(self.now))
+        return self.now + max(0.0, request.units - store.level) / (rate * part)
 
     def bears_at(self, node: Node) -> float:
         """Cold nodes: in debt for each send until this host's part of what the node bears has paid it off:
@@ -477,7 +501,8 @@
         room = 1 / max(self.busy, 1 / ROOM_MOST)
         mean = sum(self.usual.values()) / max(1, len(self.usual))
         usual = self.usual.get(node.cell, mean) * share * safety.tip_multiple * room
-        rate = max(usual, self.settings.cold_units / safety.tip_after / self.hosts, 1e-9)
+        stated = self.settings.cold_units / safety.tip_after / self.hosts * self.share.part
+        rate = max(usual, stated, 1e-9)
         node.cold.fill(rate, usual * safety.tip_after * (1 - 1 / room), self.now)
         return self.now - node.cold.level / rate
 
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -48,6 +48,11 @@
         self.done_units = 0.0
         self.latest = 0.0  # when the last sent of the attempts was sent that are answered
 
+    def add_classes(self, count: int) -> None:
+        self.out += [0] * count
+        self.split += [1] * count
+        self.demand += [0.0] * count
+
 
 class Store:
     """Units that fill up at a rate, to a ceiling at most."""
@@ -60,6 +65,20 @@
         self.filled = now
 
 
+class ShareClock:
+    """Time as the limits' stores count it: it runs as fast as the part of each limit that this process may
+    use, so that a store that is looked at after a change has filled by each part for as long as it held."""
+
+    def __init__(self, part: float, now: float) -> None:
+        self.part, self.told, self.at = part, 0.0, now
+
+    def time(self, now: float) -> float:
+        return self.told + self.part * max(0.0, now - self.at)
+
+    def change(self, part: float, now: float) -> None:
+        self.told, self.at, self.part = self.time(now), max(now, self.at), part
+
+
 class Volume:
     """This host's part of a volume's reserve and limit."""
 
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -581,7 +581,31 @@
         self.assertTrue(directory.serves(1))
 
 
-class DaemonStories(unittest.IsolatedAsyncioTestCase):
+class DaemonCase(unittest.IsolatedAsyncioTestCase):
+    """Starts the daemon as a process and reads its log."""
+
+    async def start(
+        self, folder: str, variables: dict[str, str] | None = None, **changes: Any
+    ) -> asyncio.subprocess.Process:
+        path = Path(folder) / "config.json"
+        values = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
+                  "settings": FACTS, **changes}  # fmt: skip
+        path.write_text(json.dumps(values))
+        kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
+        return await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**kept, **(variables or {}), "RELAY_CONFIG": str(path)},
+        )  # fmt: skip
+
+    async def line(self, daemon: asyncio.subprocess.Process, word: bytes) -> bytes:
+        assert daemon.stderr
+        async with asyncio.timeout(10):
+            while word not in (line := await daemon.stderr.readline()):
+                self.assertTrue(line, "the daemon ended")
+        return line
+
+
+class DaemonStories(DaemonCase):
     async def test_a_front_that_is_back_serves_by_its_last_list_at_once(self) -> None:
         async def script(trace: str) -> bytes:
             return answer()
@@ -604,19 +628,6 @@
         box.stop()
         silent.close()
 
-    async def start(
-        self, folder: str, variables: dict[str, str] | None = None, **changes: Any
-    ) -> asyncio.subprocess.Process:
-        path = Path(folder) / "config.json"
-        values = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
-                  "settings": FACTS, **changes}  # fmt: skip
-        path.write_text(json.dumps(values))
-        kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
-        return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**kept, **(variables or {}), "RELAY_CONFIG": str(path)},
-        )  # fmt: skip
-
     async def test_sigterm_answers_what_was_taken_and_what_still_comes(self) -> None:
         release = asyncio.Event()
 
@@ -665,13 +676,6 @@
         box.stop()
         agent.stop()
 
-    async def line(self, daemon: asyncio.subprocess.Process, word: bytes) -> bytes:
-        assert daemon.stderr
-        async with asyncio.timeout(10):
-            while word not in (line := await daemon.stderr.readline()):
-                self.assertTrue(line, "the daemon ended")
-        return line
-
     async def test_sighup_takes_the_new_discovery_from_the_file_and_keeps_the_old_on_a_fault(self) -> None:
         async def script(trace: str) -> bytes:
             return answer()
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,177 @@
+"""Settings that change at SIGHUP: classes come and go, attempts are fewer, a broken file changes nothing."""
+
+from __future__ import annotations
+
+import copy
+import json
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from cleatyoke import api
+from cleatyoke.config import BadConfig, read_config
+from cleatyoke.retune import Places, missing, shape
+from tests.host import Host, class_spec, entry, settings
+from tests.test_http_front import HEADERS, TARGET, DaemonCase
+from tests.test_http_front import entry as listed
+from tests.wire import FACTS, DiscoveryAgent, HttpBox, answer
+
+
+class PlacesCase(unittest.TestCase):
+    def test_a_name_keeps_its_place_and_one_that_is_gone_leaves_it_retired(self) -> None:
+        places = Places.of(["read", "write"]).follow(["scan", "write"])
+        self.assertEqual((places.live, places.retired()), ({"scan": 2, "write": 1}, {0}))
+        self.assertEqual(places.arrange(["r", "w"], ["scan", "write"], ["s", "W"]), ["r", "W", "s"])
+        back = places.follow(["read"])
+        self.assertEqual((back.live, back.retired()), ({"read": 0}, {1, 2}))
+        self.assertEqual(back.arrange(["r", "W", "s"], ["read"], ["R"]), ["R", "W", "s"])
+
+    def test_a_key_that_the_file_had_is_missed_in_every_depth(self) -> None:
+        old = {"a": {"b": [{"x": 1, "y": 2}, {"x": 1}]}, "c": None}
+        self.assertEqual(shape(old), {"a", "a.b", "a.b[].x", "c"})
+        self.assertEqual(missing(shape(old), shape({"a": {"b": [{"x": 1}, {"y": 1}]}, "c": 2})), "a.b[].x")
+        self.assertIsNone(missing(shape(old), shape({"a": {"b": [{"x": 5, "z": 1}]}, "c": 1, "d": 1})))
+
+
+class PolicyCase(unittest.TestCase):
+    def host(self) -> Host:
+        return Host(settings([class_spec(), class_spec()], hosts=1), [entry(1, 1), entry(2, 2)])
+
+    def test_a_new_class_is_served_at_once_by_its_own_effect_and_the_bounds_still_add_up(self) -> None:
+        host = self.host()
+        kinds = [class_spec(), class_spec(), class_spec(repeat=api.Repeat.ONCE, worth=3.0)]
+        host.step(api.Retuned(settings(kinds, hosts=1)))
+        self.assertAlmostEqual(sum(host.policy.bounds), 1.0)
+        self.assertIn(api.Send("n", 1), host.ask("n", class_index=2))
+        host.now += 0.05
+        self.assertIn(api.Fail("n"), host.end("n", api.Outcome.RESET))  # it may have run
+        host.run_until(host.now + 5)  # control rounds with the new class
+        self.assertIn(api.Send("m", 1), host.ask("m", class_index=2))
+
+    def test_what_is_under_way_keeps_its_class_and_a_class_that_is_gone_gives_its_bound_back(self) -> None:
+        host = self.host()
+        host.ask("old", class_index=1)
+        gone = [class_spec(), class_spec(aim=0.001, worth=1e-9)]
+        host.step(api.Retuned(settings(gone, hosts=1), frozenset({1})))
+        self.assertEqual(host.policy.bounds, [1.0, 0.0])
+        self.assertEqual(host.policy.requests["old"].kind.aim, class_spec().aim)
+        host.end("old", api.Outcome.FULL)
+        host.run_until(host.now + 0.2)
+        self.assertEqual(host.sent().count("old"), 2)  # turned away unrun, it is sent again
+        host.end("old", api.Outcome.SERVED)
+        host.run_until(host.now + 4)
+        self.assertLess(host.policy.bounds[1], 0.06)
+        host.step(api.Retuned(settings([class_spec(), class_spec()], hosts=1)))  # it comes back
+        self.assertGreater(host.policy.bounds[1], 0.3)
+
+    def test_fewer_attempts_bind_what_is_under_way(self) -> None:
+        host = self.host()
+        host.ask("a")
+        host.step(api.Retuned(settings([class_spec(), class_spec()], hosts=1, max_attempts=1)))
+        self.assertTrue(any(isinstance(one, api.Refuse) for one in host.end("a", api.Outcome.FULL)))
+        self.assertEqual(host.sent().count("a"), 1)
+
+
+class FileCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.values: dict[str, Any] = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+                                       "settings": FACTS}  # fmt: skip
+
+    def read(self, values: Any) -> Any:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(values if isinstance(values, str) else json.dumps(values))
+            return read_config({"RELAY_CONFIG": str(path)})
+
+    def test_a_file_that_lacks_any_key_or_has_a_figure_that_cannot_be_changes_nothing(self) -> None:
+        config = self.read(self.values)
+        before = copy.deepcopy(config)
+        text = json.dumps(self.values)
+        broken: list[Any] = ["", text[: len(text) // 2], "[]", "null"]
+
+        def without(value: Any, path: list[Any]) -> Any:
+            if isinstance(value, dict):
+                for key in value:
+                    broken.append((path, key))
+                    without(value[key], [*path, key])
+            elif isinstance(value, list) and all(isinstance(one, dict) for one in value):
+                for place, one in enumerate(value):
+                    without(one, [*path, place])
+
+        without(self.values, [])
+        for key, figure in (("AimS", 0), ("GiveUpS", -1), ("GiveUpS", "1.5"), ("AimS", None)):
+            broken.append((["settings", "Lanes", 0], key, figure))
+        broken.append((["settings", "PolicyLimits"], "SendCap", 0))
+        for one in broken:
+            values: Any = one
+            if isinstance(one, tuple):
+                values = copy.deepcopy(self.values)
+                subject = values
+                for step in one[0]:
+                    subject = subject[step]
+                if len(one) == 2:
+                    del subject[one[1]]
+                else:
+                    subject[one[1]] = one[2]
+            with self.assertRaises(BadConfig, msg=str(one)):
+                config.reload(self.read(values))
+            self.assertEqual(config, before, one)
+        self.assertGreater(len(broken), 30)
+
+    def test_classes_come_and_go_by_name_with_all_that_hangs_on_their_place(self) -> None:
+        config = self.read(self.values)
+        new = copy.deepcopy(self.values)
+        scan = {"Name": "scan", "AimS": 0.7, "GiveUpS": 2.5, "Repeat": "once", "Worth": 9.0}
+        new["settings"]["Lanes"] = [scan, new["settings"]["Lanes"][0]]
+        new["settings"]["PolicyLimits"]["SendCap"] = 2
+        new["settings"]["Extra"] = {"ChangesData": [True, False]}
+        taken = config.reload(self.read(new))
+        self.assertEqual((taken.retired, taken.waiting), ({1}, []))
+        self.assertEqual(config.classes, {"scan": 2, "tile-read": 0})
+        self.assertEqual((config.give_up, config.writes), ([1.5, 1.5, 2.5], [False, False, True]))
+        self.assertEqual([kind.aim for kind in config.settings.classes], [0.5, 0.5, 0.7])
+        self.assertEqual((config.settings.max_attempts, config.notice()), (2, 3.2))
+        self.assertIsNone(config.reload(self.read(new)).retired)  # the same again is no change
+
+
+class Story(DaemonCase):
+    async def test_a_class_that_comes_at_sighup_is_served_and_one_that_goes_is_not(self) -> None:
+        async def script(trace: str) -> bytes:
+            return answer()
+
+        box: HttpBox = await HttpBox(script).start()
+        known = {"generation": 1, "reset": True, "instances": [listed("SERVING", box.port)]}
+        agent = await DiscoveryAgent(known, []).start()
+        with tempfile.TemporaryDirectory() as folder:
+            daemon = await self.start(folder, known=known, discovery=f"127.0.0.1:{agent.port}")
+            line = await self.line(daemon, b"event='ready'")
+            url = f"http://127.0.0.1:{int(line.split(b'port=')[1].split(b')')[0])}{TARGET}"
+            path = Path(folder) / "config.json"
+            values = json.loads(path.read_text())
+            values["settings"]["Lanes"][0]["Name"] = "scan"
+
+            async def ask(client: aiohttp.ClientSession, name: str, trace: str) -> int:
+                headers = {**HEADERS, "X-Qos": name, "X-Trace-Id": trace}
+                async with client.get(url, headers=headers) as response:
+                    return response.status
+
+            async with aiohttp.ClientSession() as client:
+                self.assertEqual(await ask(client, "tile-read", "a"), 200)
+                self.assertEqual(await ask(client, "scan", "b"), 400)
+                path.write_text(json.dumps(values))
+                daemon.send_signal(signal.SIGHUP)
+                self.assertIn(b"retuned=True", await self.line(daemon, b"event='reloaded'"))
+                self.assertEqual(await ask(client, "scan", "c"), 200)
+                self.assertEqual(await ask(client, "tile-read", "d"), 400)
+                path.write_text(path.read_text()[:-9])
+                daemon.send_signal(signal.SIGHUP)
+                await self.line(daemon, b"event='reload_failed'")
+                self.assertEqual(await ask(client, "scan", "e"), 200)
+            daemon.terminate()
+            self.assertEqual(await daemon.wait(), 0)
+        box.stop()
+        agent.stop()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -8,15 +8,21 @@
 import socket
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
 import aiohttp
 
+from cleatyoke import api
 from cleatyoke.faults import Faults
 from cleatyoke.figures import Figures
+from cleatyoke.net.handover import HEARD, MARK, Lives
 from cleatyoke.net.sockets import NotListening, take_listening
-from tests.wire import FACTS
+from cleatyoke.rules import Policy
+from cleatyoke.state import ShareClock
+from tests.host import class_spec, entry, plan_spec, settings
+from tests.wire import FACTS, config
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -91,54 +97,85 @@
 
 class SharedLimits(unittest.IsolatedAsyncioTestCase):
     async def test_while_another_process_of_the_front_lives_each_has_half_of_every_limit(self) -> None:
-        from cleatyoke.net.handover import MARK, Lives
-        from tests.wire import config
-
-        settings = config().settings
+        settings, told = config().settings, []
         with tempfile.TemporaryDirectory() as folder:
             (Path(folder) / f"{MARK}{2**22 + 7}").write_text("")  # a process that died
-            lives = Lives(Path(folder), settings, Faults(Figures()))
-            self.assertEqual(settings.limit_share, 1.0)
-            (Path(folder) / f"{MARK}{os.getppid()}").write_text("")  # one that lives
-            lives.start()
-            self.assertEqual(settings.limit_share, 0.5)
-            (Path(folder) / f"{MARK}{os.getppid()}").unlink()
+            lives = Lives(Path(folder), settings, Faults(Figures()), 50.0)
+            self.assertEqual((settings.limit_share, settings.taken_over), (1.0, False))
+            self.assertEqual(settings.quiet_since, 50.0)
+            other = Path(folder) / f"{MARK}{os.getppid()}"
+            other.write_text("")  # one that lives
+            lives.start(told.append)
+            self.assertEqual(told, [api.Shared(0.5)])
+            other.unlink()
             await asyncio.sleep(0.12)
-            self.assertEqual(settings.limit_share, 1.0)
+            self.assertEqual(told, [api.Shared(0.5), api.Shared(1.0)])
             lives.stop()
             self.assertFalse(lives.mark.exists())
-
-    def test_the_policy_passes_half_as_much_on_a_limit_that_is_shared(self) -> None:
-        from dataclasses import replace
-
-        from cleatyoke import api
-        from cleatyoke.rules import Policy
-
-        def sent(share: float) -> int:
-            plan = api.PlanSpec(worth=1.0, rate=6.0, reserve=0.0, weight=1.0, limit=10.0, limit_burst=10.0,
-                                limit_slack=2.0)  # fmt: skip
-            kind = api.ClassSpec(aim=0.2, worth=3.0, late_share=0.1, repeat=api.Repeat.FREE,
-                                 scope=api.Scope.ALL, memory=5.0, ordered=False)  # fmt: skip
-            safety = api.Safety(cold_from=0.16, ramp=14.0, tip_multiple=2.0, tip_after=2.0, ask_every=None,
-                                key_rest=0.0, extra_free=None, extra_ratio=None,
-                                extra_window=None)  # fmt: skip
-            settings = api.Settings(classes=[kind], plans=[plan], safety=safety, seed=1, hosts=1,
-                                    must_watch=False, max_attempts=4, cancel=True, cold_units=20.0,
-                                    largest=8.0, mean=2.0, within_share=0.35, quiet_since=90.0)  # fmt: skip
-            policy = Policy(replace(settings, limit_share=share))
-            node = api.NodeEntry(node=11, cell=0, zone=0, state=api.NodeState.LIVE, up_since=0.0)
-            policy.step(100.0, [api.NodeList(api.ListKind.FULL, [node])])
-            count = 0
-            for number in range(40):
-                now = 100.0 + number * 0.05
-                ask = api.Arrival(request=str(number), class_index=0, plan=0, volume=1, item=number, cell=0,
-                                  units=1.0, deadline=now + 1.5, hosts=1)  # fmt: skip
-                for action in policy.step(now, [ask]):
-                    if isinstance(action, api.Send):
-                        count += 1
-                        policy.step(now, [api.Ended(action.request, 0, 11, api.Outcome.SERVED, 0.001, True)])
-            return count
-
-        whole, half = sent(1.0), sent(0.5)
-        self.assertGreater(whole, 10)
-        self.assertLess(half, whole * 0.7)
+            other.write_text("")
+            Lives(Path(folder), settings, Faults(Figures()), 50.0).mark.unlink()
+            self.assertEqual((settings.limit_share, settings.taken_over), (0.5, True))
+            self.assertGreater(settings.quiet_since or 0.0, time.time())  # not before the other has heard
+
+
+class Overlap(unittest.TestCase):
+    """Two processes of one host over an upgrade, asked for far more than the limit, as a meter sees it."""
+
+    limit, burst, slack = 30.0, 55.0, 8.0
+
+    def policy(self, since: float, part: float, taken_over: bool) -> Policy:
+        plan = plan_spec(reserve=0.0, limit=self.limit, limit_burst=self.burst, limit_slack=self.slack)
+        made = settings([class_spec()], [plan], hosts=1, quiet_since=since, limit_share=part,
+                        taken_over=taken_over, max_attempts=4)  # fmt: skip
+        policy = Policy(made)
+        policy.step(since + 0.3, [api.NodeList(api.ListKind.FULL, [entry(11, 0)])])
+        return policy
+
+    def ask(self, policy: Policy, now: float, units: float) -> float:
+        """Units that go out for a request made now, which a node answers at once."""
+        self.asked += 1
+        arrival = api.Arrival(request=str(self.asked), class_index=0, plan=0, volume=1, item=self.asked,
+                              cell=0, units=units, deadline=now + 1.5, hosts=1)  # fmt: skip
+        sent = 0.0
+        for action in policy.step(now, [arrival]):
+            if isinstance(action, api.Send):
+                sent += units
+                policy.step(now, [api.Ended(action.request, 0, 11, api.Outcome.SERVED, 0.001, True)])
+        return sent
+
+    def play(self, overlap: float, lag: float, quiet: float) -> float:
+        """The least that the meter's store came to. The old process hears ``lag`` after the new one's mark;
+        the new one is asked for nothing in the first ``quiet`` seconds."""
+        self.asked = 0
+        old = self.policy(0.0, 1.0, False)
+        started = 10.0  # its mark; what it imported before counts for nothing
+        new = self.policy(started + HEARD, 0.5, True)
+        level, least, now = self.burst, self.burst, 5.0
+        told = ended = False
+        while now < 25.0:
+            now += 0.02
+            level = min(self.burst, level + self.limit * 0.02)
+            if now >= started + lag and not told:
+                told = True
+                old.step(now, [api.Shared(0.5)])
+            if now >= started + overlap and not ended:
+                ended = True
+                new.step(now, [api.Shared(1.0)])
+            if not ended:
+                level -= self.ask(old, now, 2.0)
+            if now >= started + max(0.5, quiet):
+                level -= self.ask(new, now, 2.0)
+            least = min(least, level)
+        return least
+
+    def test_the_limit_holds_over_an_upgrade_whenever_the_new_process_is_first_asked(self) -> None:
+        for overlap in (1.0, 3.0, 6.0):
+            for quiet in (0.0, overlap - 0.1, overlap + 0.1, 12.0):
+                least = self.play(overlap, 0.1, quiet)
+                self.assertGreaterEqual(least, -self.slack, (overlap, quiet))
+                self.assertLess(least, self.burst / 2)  # it was asked for more than it could give
+
+    def test_a_share_is_not_counted_for_the_time_before_it_held(self) -> None:
+        clock = ShareClock(0.5, 10.0)
+        clock.change(1.0, 14.0)
+        self.assertEqual((clock.time(14.0), clock.time(15.0), clock.time(12.0)), (2.0, 3.0, 2.0))
