Serve a class that the list of writes does not name, and count a fault as a failure

Cause: the file read at SIGHUP has a new class and the old ChangesData of two entries; messages.py read past its end, and an exception was counted under no outcome.

Change: what is not said of a class is unknown, either method is taken (retune.follow_writes, with the reason); server.py counts a request that ends by an exception as failed. Ruled out: the classes' places, which were right.

--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from cleatyoke import api
-from cleatyoke.retune import Places, follow_settings, missing, shape
+from cleatyoke.retune import Places, follow_settings, follow_writes, missing, shape
 
 REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
@@ -105,7 +105,7 @@
     classes: dict[str, int]
     plans: dict[str, int]
     give_up: list[float]  # by class: seconds that its clients wait at the most; infinite: not said
-    writes: list[bool]  # by class, or empty where nothing is said
+    writes: list[bool | None]  # by class, or empty where nothing is said; None: not of this class
     shards: int  # counted from 0; 0: nothing is said
     zones: dict[str, int]
     dial_timeout: float
@@ -148,8 +148,7 @@
         classes, plans = old[0].follow(names), old[1].follow(plan_names)
         settings = follow_settings(self.settings, new.settings, classes, names, plans, plan_names)
         give_up = classes.arrange(self.give_up, names, new.give_up)
-        said = self.writes or [False] * len(old[0].ever)
-        writes = classes.arrange(said, names, new.writes) if new.writes else []
+        writes = follow_writes(self.writes, self.classes, classes, new.writes)
         facts = (settings, classes.live, plans.live, new.shards, give_up, writes)
         if facts == (self.settings, self.classes, self.plans, self.shards, self.give_up, self.writes):
             return None
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -106,7 +106,8 @@
     if method == "GET" and body:
         raise BadMessage("Content-Length: a read has no body")
     index, largest = config.classes[kind], int(config.settings.largest) or 1 << 20
-    if config.writes and config.writes[index] != (method == "PUT"):
+    said = config.writes[index] if index < len(config.writes) else None
+    if said not in (None, method == "PUT"):
         raise BadMessage(f"X-Qos: {kind!r} does not go with {method}")
     wait = whole(headers.get("X-Expires-In-Ms"), "X-Expires-In-Ms", 0, LONGEST_WAIT_MS) / 1000
     return Ask(
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -184,6 +184,10 @@
             response = await self.answer(request, client)
             if counted:
                 self.figures.answered(name, response.status)
+        except Exception:  # aiohttp answers it with 500
+            if counted:
+                self.figures.answered(name, 500)
+            raise
         finally:
             self.figures.inflight -= counted
             client.give_back()
--- a/cleatyoke/retune.py
+++ b/cleatyoke/retune.py
@@ -61,6 +61,22 @@
     )  # fmt: skip
 
 
+def follow_writes(
+    old: Sequence[bool | None], had: Mapping[str, int], classes: Places, new: Sequence[bool | None]
+) -> list[bool | None]:
+    """Which classes change data, by place. A new list counts where it names as many as there are classes. The
+    platform's stays as it was while classes come and go, and would then be read for the wrong ones: a class
+    keeps what was said of it, and of a new one nothing is known."""
+    out: list[bool | None] = [None] * len(classes.ever)
+    if len(new) == len(classes.live):
+        for place, value in zip(classes.live.values(), new):
+            out[place] = value
+    elif old:
+        for name, place in had.items():
+            out[classes.ever[name]] = old[place]
+    return out if any(value is not None for value in out) else []
+
+
 def shape(value: Any, path: str = "") -> frozenset[str]:
     """The paths of all keys that a file holds; of a list's tables, those that every one of them has."""
     if isinstance(value, Mapping):
