Pass long answers on as they come, and take slow and long uploads within a bound of memory

Change: an answer over 64 KiB counts as served with its first bytes and passes on with backpressure, past its deadline if need be; where the box breaks off, the client's connection ends. Bodies are gathered in pieces within bodies.Room (no I/O), which the memory limit sizes; those that find no room wait unread, which costs them nothing, as their time counts from the last byte. Expect: 100-continue and the absolute form are taken. A head has 2.6 s while there is room. Not taken: streaming an upload to the box as it comes (an attempt that never ran could not be made again, and a box connection would be held at the client's pace); spooling to TMPDIR (it counts as memory).

--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -11,11 +11,14 @@
 from typing import Any
 
 from cleatyoke import api
+from cleatyoke.bodies import MOST_UPLOAD
 from cleatyoke.retune import Places, follow_settings, follow_writes, missing, shape
 
 REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
 MOST_SOCKETS = 1024
+BODY_SHARE = 0.45  # of the memory, for bodies
+LEAST_BODIES = 4 * 1024 * 1024
 SPARE_SOCKETS = 56  # listeners, log, discovery twice, files read, connections whose end is still on its way
 MOST_SESSIONS = 32
 FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
@@ -105,6 +108,7 @@
     classes: dict[str, int]
     plans: dict[str, int]
     give_up: list[float]  # by class: seconds that its clients wait at the most; infinite: not said
+    body_bytes: int  # of memory, for the bodies of requests
     writes: list[bool | None]  # by class, or empty where nothing is said; None: not of this class
     shards: int  # counted from 0; 0: nothing is said
     zones: dict[str, int]
@@ -360,6 +364,7 @@
         settings=read_settings(facts.values, seed),
         classes=classes,
         plans=plans,
+        body_bytes=body_bytes(root.table("limits", {}).number("memory_mb", 0.0)),
         give_up=[lane.positive("GiveUpS", math.inf) for lane in lanes],
         writes=[bool(one) for one in extra.rows("ChangesData", [])],
         shards=extra.whole("Shards", 0, 1 << 31, 0),
@@ -374,6 +379,13 @@
     )
 
 
+def body_bytes(memory_mb: float) -> int:
+    """What bodies may hold of a front's memory: the process itself takes some 30 MB."""
+    if not memory_mb:
+        return LEAST_BODIES + MOST_UPLOAD
+    return max(LEAST_BODIES, int(memory_mb * BODY_SHARE * 1024 * 1024))
+
+
 def read_descriptor(text: str | None) -> int | None:
     if text is None or text == "":
         return None
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -33,6 +33,8 @@
 IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
 REST = 0.02  # seconds that a connection rests after an answer, so that what comes behind that is noticed
 GAP = 0.05  # seconds for the head of an answer, once it has begun, and between the pieces of its body
+STALL = 10.0  # seconds without a byte, or without a reader, after which a long answer is given up
+HIGH, LOW = 256 * 1024, 64 * 1024  # bytes of a long answer held here: none more is read, it is read again
 
 
 class Line(asyncio.Protocol):
@@ -49,6 +51,8 @@
         self.rested_at = 0.0
         self.left: Callable[[], None] | None = None  # while it is pooled: what to do when it ends
         self.written: Callable[[], None] | None = None  # once the request's last byte has left
+        self.rest: list[bytes] = []  # pieces of the request not yet with the transport, the last first
+        self.body: LongBody | None = None  # of the answer, where it passes on as it comes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -60,11 +64,29 @@
 
     def resume_writing(self) -> None:
         self.unwritten = False
-        if self.written:
+        self.write_on()
+
+    def write_on(self) -> None:
+        """Piece by piece, so that no copy of a long body stands in the transport's buffer."""
+        while self.rest and not self.unwritten and self.transport:
+            self.transport.write(self.rest.pop())
+        if not self.rest and not self.unwritten and self.written:
             self.written()
             self.written = None
 
+    def sending(self) -> bool:
+        """The request's last byte has not left."""
+        return self.unwritten or bool(self.rest)
+
     def data_received(self, data: bytes) -> None:
+        if self.body and self.reader:
+            try:
+                self.body.put(self.reader.more(data))
+                if self.reader.ended:
+                    self.body.end(self.reader.reusable())
+            except SpoiltAnswer as error:
+                self.body.broke(error)
+            return
         if self.reader is None or self.answer is None or self.answer.done():
             self.abort()  # nothing is awaited: these bytes must never become the next request's answer
             return
@@ -74,6 +96,10 @@
             self.fail(error)
             return
         if answer:
+            if answer.long:
+                self.body = LongBody(self, answer)
+                if self.reader.ended:
+                    self.body.end(self.reader.reusable())
             self.answer.set_result(answer)
         elif self.gap is None or self.reader.message:
             if self.gap:
@@ -81,10 +107,14 @@
             self.gap = self.loop.call_later(GAP, self.fail, SpoiltAnswer("it does not end"))
 
     def eof_received(self) -> None:
+        if self.body:
+            self.body.broke(SpoiltAnswer("the connection ended"))
         self.fail(SpoiltAnswer("the connection ended"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        if self.body:
+            self.body.broke(SpoiltAnswer("the connection broke"))
         self.fail(SpoiltAnswer("the connection broke"))
 
     def fail(self, error: SpoiltAnswer) -> None:
@@ -105,24 +135,96 @@
             return False
         return not unread(self.transport)
 
-    async def exchange(self, request: bytes, written: Callable[[], None]) -> Answer:
+    async def exchange(self, request: list[bytes], written: Callable[[], None]) -> Answer:
         if self.transport is None or self.transport.is_closing():
             raise ConnectionError("it ended before the first byte")  # so nothing ran
         self.reader, self.answer = AnswerReader(), self.loop.create_future()
-        self.transport.write(request)
-        if self.unwritten:
-            self.written = written
-        else:
-            written()
+        self.rest, self.written = request[::-1], written
+        self.write_on()
         try:
             return await self.answer
         finally:
-            self.reader = self.answer = self.written = None
+            self.answer = self.written = None
+            if self.body is None:
+                self.reader = None
             if self.gap:
                 self.gap.cancel()
                 self.gap = None
 
 
+class LongBody:
+    """A long answer's body on its way from the box to the client. It has an owner who reads it and closes it;
+    should none turn up, it ends by itself."""
+
+    def __init__(self, line: Line, answer: Answer) -> None:
+        self.line, self.length = line, answer.length
+        self.pieces: deque[bytes] = deque()
+        self.size = 0
+        self.ended, self.reusable = False, False
+        self.error: SpoiltAnswer | None = None
+        self.news = asyncio.Event()
+        self.release: Callable[[bool], None] | None = None  # of the connection: whether it can be used again
+        self.paused = False
+        self.watch = line.loop.call_later(STALL, self.stalled)
+        self.put(answer.body)
+
+    def put(self, piece: bytes) -> None:
+        if piece:
+            self.pieces.append(piece)
+            self.size += len(piece)
+        if self.size > HIGH and not self.paused and self.line.transport:
+            self.paused = True
+            self.line.transport.pause_reading()
+        self.moved()
+
+    def end(self, reusable: bool) -> None:
+        self.ended, self.reusable = True, reusable
+        self.moved()
+
+    def broke(self, error: SpoiltAnswer) -> None:
+        if not self.ended:
+            self.error = self.error or error
+        self.moved()
+
+    def moved(self) -> None:
+        self.news.set()
+        self.watch.cancel()
+        if self.release or not self.ended:
+            self.watch = self.line.loop.call_later(STALL, self.stalled)
+
+    def stalled(self) -> None:
+        """Guards the connection: a box that holds back the rest, or nobody who reads."""
+        self.broke(SpoiltAnswer("it does not go on"))
+        self.close()
+
+    async def read(self) -> bytes:
+        """The next bytes, or none at the end. A ``SpoiltAnswer``: what the box gave ends here, unwhole."""
+        while not self.pieces:
+            if self.ended:
+                return b""
+            if self.error:
+                raise self.error
+            self.news.clear()
+            await self.news.wait()
+        piece = self.pieces.popleft()
+        self.size -= len(piece)
+        self.moved()
+        if self.paused and self.size < LOW and self.line.transport:
+            self.paused = False
+            self.line.transport.resume_reading()
+        return piece
+
+    def close(self) -> None:
+        """Give the connection back where the answer was whole, or end it."""
+        self.watch.cancel()
+        self.line.body = self.line.reader = None
+        if self.paused and self.line.transport:
+            self.line.transport.resume_reading()
+        release, self.release = self.release, None
+        if release:
+            release(self.ended and self.reusable)
+
+
 class Pool:
     """The idle connections to one life of one box, the longest rested first."""
 
@@ -164,8 +266,9 @@
         if line.expiry:
             line.expiry.cancel()
 
-    async def attempt(self, node: int, ask: Ask, wait: float) -> Ending[bytes]:
-        """Send the request to the box, once; any ending that is not proven harmless may have run."""
+    async def attempt(self, node: int, ask: Ask, wait: float) -> Ending[bytes | LongBody]:
+        """Send the request to the box, once; any ending that is not proven harmless may have run. A long
+        answer counts as served with its first bytes; whoever gets its body closes it."""
         if not self.directory.serves(node):
             return Ending(Outcome.NOT_SENT)
         pool = self.pools.get(node)
@@ -180,21 +283,28 @@
             try:
                 answer = await line.exchange(encode_attempt(ask, pool.address, wait), self.counted)
             except SpoiltAnswer:
-                return Ending(Outcome.NO_CONNECTION if line.unwritten else Outcome.RESET)
+                return Ending(Outcome.NO_CONNECTION if line.sending() else Outcome.RESET)
             outcome = decode_outcome(answer.status, answer.headers)
             if outcome is not Outcome.SERVED:
                 return Ending(outcome)
             elsewhere, busy = decode_elsewhere(answer.headers), decode_busy(answer.headers)
-            return Ending(outcome, answer.body, elsewhere, busy)
+            return Ending(outcome, line.body or answer.body, elsewhere, busy)
         except (OSError, TimeoutError):
             return Ending(Outcome.NO_CONNECTION)
         finally:
-            if line and answer and answer.reusable and line.transport and not pool.retired:
-                self.give_back(pool, line)
+            if line and line.body and answer and answer.status == 200:
+                line.body.release = partial(self.settle, pool, line)
             else:
-                self.open -= 1
-                if line:
-                    line.abort()
+                self.settle(pool, line, answer is not None and answer.reusable)
+
+    def settle(self, pool: Pool, line: Line | None, reusable: bool) -> None:
+        """A connection, or the place of one that did not come up, is free again."""
+        if line and reusable and line.transport and not pool.retired:
+            self.give_back(pool, line)
+        else:
+            self.open -= 1
+            if line:
+                line.abort()
 
     def counted(self) -> None:
         self.figures.backend_calls += 1
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -9,31 +9,38 @@
 from typing import Any
 
 import structlog
-from aiohttp import StreamReader, web
+from aiohttp import HttpVersion11, StreamReader, web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
-from cleatyoke import api
+from cleatyoke import api, bodies
 from cleatyoke.config import Address, Config
 from cleatyoke.core import ATTEMPT_MARGIN, Core, Ending, Failed, Refused, Served
 from cleatyoke.maintenance import Drain
-from cleatyoke.net.boxes import Boxes
-from cleatyoke.net.messages import MOST_BODY, Ask, BadMessage, decode_ask
+from cleatyoke.net.boxes import Boxes, LongBody
+from cleatyoke.net.messages import Ask, BadMessage, SpoiltAnswer, decode_ask
 from cleatyoke.net.sockets import Listener, unread
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
-HEAD = 0.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
-BODY = 1.5  # seconds for a body to come
+HEAD = 2.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
+SLOW_HEAD = 0.6  # seconds after which a head that is not whole may make room for another connection
+BODY = bodies.GRACE  # seconds for a short body to come
+LOOK = 0.02  # seconds between looks for room in memory, while a body waits for it
 MOST_HEAD = 4096  # bytes of a line or a field of a head
 MOST_FIELDS = 64
 SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
 REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken
 SWEEP = 0.05  # seconds between looks for idle connections while the front drains
 DRAIN_SILENT = 0.3  # seconds for which a new connection may stand without a request while the front drains
+CUT = web.ResponseKey("cut", bool)  # of an answer: its box did not give the whole of it
 log = structlog.get_logger()
 
 
+class TooLong(Exception):
+    """A body that is longer than any that is taken."""
+
+
 class Client(RequestHandler):
     """A client's connection: aiohttp's, and the guards that it lacks against clients that behave badly."""
 
@@ -114,6 +121,7 @@
         self.sweeper: asyncio.TimerHandle | None = None
         self.most_clients = config.shares.clients
         self.last_answer, self.closing = math.inf, False
+        self.space = bodies.Room(config.body_bytes)
         self.server = web.Server(
             self.handle, request_factory=self.make_request, handler_cancellation=True
         )  # a client that closes is withdrawn
@@ -134,7 +142,7 @@
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
         return web.BaseRequest(
-            message, payload, protocol, writer, task, self.core.loop, client_max_size=MOST_BODY
+            message, payload, protocol, writer, task, self.core.loop, client_max_size=bodies.WHOLE
         )
 
     def listen(self) -> None:
@@ -153,6 +161,11 @@
             if one.came <= before and one.evictable():
                 one.evict()
                 return True
+        slow = self.core.loop.time() - SLOW_HEAD
+        for one in self.idle:  # a head may take its time while there is room
+            if 0 < one.began <= slow:
+                one.evict()
+                return True
         return False
 
     def admit(self) -> Client:
@@ -173,7 +186,7 @@
         self.clients.discard(client)
         self.spoke(client)
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         client = request.protocol
         assert isinstance(client, Client)
         client.take()
@@ -183,61 +196,97 @@
         try:
             response = await self.answer(request, client)
             if counted:
-                self.figures.answered(name, response.status)
+                self.figures.answered(name, 502 if response.get(CUT) else response.status)
         except Exception:  # aiohttp answers it with 500
             if counted:
                 self.figures.answered(name, 500)
             raise
         finally:
             self.figures.inflight -= counted
+            self.space.leave(client)
             client.give_back()
-        # Guards against clients that ask once and keep their connection for good: they would soon hold all
-        # that clients can open, and the next find none. A close that the answer tells of crosses nothing.
-        # Only idle ones count: amid a storm of repeats, new connections would cost what the answers need.
-        crowded = len(self.idle) - len(self.silent) > self.config.shares.crowd
-        leaving = self.closing or self.drain.draining
-        if crowded or leaving or not request.content.is_eof() or client.crowded():
+        if not response.prepared and self.ends(request, client):
             response.force_close()  # Connection: close
         return response
 
-    async def answer(self, request: web.BaseRequest, client: Client) -> web.Response:
-        came = self.core.now()
+    def ends(self, request: web.BaseRequest, client: Client) -> bool:
+        """Whether the connection ends with this answer.
+
+        Guards against clients that ask once and keep their connection for good: they would soon hold all
+        that clients can open, and the next find none. A close that the answer tells of crosses nothing.
+        Only idle ones count: amid a storm of repeats, new connections would cost what the answers need."""
+        crowded = len(self.idle) - len(self.silent) > self.config.shares.crowd
+        leaving = self.closing or self.drain.draining
+        return crowded or leaving or not request.content.is_eof() or client.crowded()
+
+    async def gather(self, request: web.BaseRequest, client: Client) -> list[bytes]:
+        """The body in the pieces that came. It is read only as fast as there is room for it in memory."""
+        pieces: list[bytes] = []
+        size, began, waited = 0, self.core.loop.time(), 0.0
+        while True:
+            limit = began + waited + bodies.patience(size, BODY)
+            async with asyncio.timeout_at(limit):
+                piece = await request.content.readany()
+            if not piece:
+                return pieces
+            size += len(piece)
+            if size > self.space.most:
+                raise TooLong
+            pieces.append(piece)
+            while not self.space.take(client, size):  # the client is held up meanwhile, and loses nothing
+                await asyncio.sleep(LOOK)
+                waited += LOOK
+
+    async def answer(self, request: web.BaseRequest, client: Client) -> web.StreamResponse:
         path = request.path
         if path == "/up":
             return web.Response(status=200 if self.drain.says_up(self.ready()) else 503)
-        if path != "/api" or not request.raw_path.startswith("/"):  # no absolute form: it is no proxy
+        if path != "/api":
             return web.Response(status=404)
         if request.method not in ("GET", "PUT"):
             return web.Response(status=405)
-        if (request.content_length or 0) > MOST_BODY:
+        if (request.content_length or 0) > self.space.most:
             return web.Response(status=413)  # at once: none of it is read
+        expects = request.headers.get("Expect", "").lower()
+        if expects not in ("", "100-continue"):
+            return web.Response(status=417)
         try:
-            async with asyncio.timeout(BODY):
-                body = await request.read() if request.body_exists else b""
-            ask = decode_ask(self.config, request.method, request.raw_path, request.headers, body)
+            ask = decode_ask(self.config, request.method, request.raw_path, request.headers, [])
+            if request.body_exists:
+                if expects:
+                    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                    request.writer.output_size = 0  # it is no part of the answer
+                ask.body = await self.gather(request, client)
+            if ask.body and ask.method == "GET":
+                raise BadMessage("Content-Length: a read has no body")
         except TimeoutError:
             return web.Response(status=408)
-        except web.HTTPRequestEntityTooLarge:
+        except TooLong:
             return web.Response(status=413)
+        except web.RequestPayloadError:
+            return web.Response(status=400, text="unreadable body\n")
         except BadMessage as error:
             return web.Response(status=400, text=f"{error}\n")
         if client.crowded():
             return web.Response(status=400, text="one request at a time\n")
         client.whole = True
+        came = self.core.now()  # the time of a request counts from its last byte
         while self.over and self.over[0][0] <= came:
             self.taken.discard(self.over.popleft()[1])
         if ask.trace in self.taken:  # passed on, it would run a request twice that is open, or just was
             return web.Response(status=400, text="X-Trace-Id: taken\n")
         self.taken.add(ask.trace)
         try:
-            return await self.schedule(ask, min(came + ask.wait, self.last_answer))
+            return await self.schedule(ask, min(came + ask.wait, self.last_answer), request, client)
         finally:
             self.over.append((self.core.now() + REMEMBERED, ask.trace))
 
-    async def schedule(self, ask: Ask, deadline: float) -> web.Response:
+    async def schedule(
+        self, ask: Ask, deadline: float, request: web.BaseRequest, client: Client
+    ) -> web.StreamResponse:
         """One request through the core: an attempt is one exchange with a box."""
 
-        async def attempt(node: int) -> Ending[bytes]:
+        async def attempt(node: int) -> Ending[bytes | LongBody]:
             return await self.boxes.attempt(node, ask, deadline - ATTEMPT_MARGIN - self.core.now())
 
         arrival = api.Arrival(
@@ -252,6 +301,8 @@
             hosts=ask.hosts,
         )
         match await self.core.serve(arrival, attempt):
+            case Served(LongBody() as body):
+                return await self.pass_on(body, request, client)
             case Served(body):
                 return web.Response(body=body)
             case Refused(wait):
@@ -260,6 +311,32 @@
             case Failed():
                 return web.Response(status=502)
 
+    async def pass_on(
+        self, body: LongBody, request: web.BaseRequest, client: Client
+    ) -> web.StreamResponse:
+        """A long answer, each piece as it comes. Where the box does not give the whole of it, the connection
+        ends, so that the client can tell."""
+        response = web.StreamResponse()
+        if body.length is not None:
+            response.content_length = body.length
+        elif request.version >= HttpVersion11:
+            response.enable_chunked_encoding()
+        if self.ends(request, client):
+            response.force_close()
+        try:
+            await response.prepare(request)
+            while piece := await body.read():
+                await response.write(piece)
+            await response.write_eof()
+        except SpoiltAnswer as error:
+            log.info("answer_cut", why=str(error))
+            response[CUT] = True
+            if request.transport:
+                request.transport.abort()
+        finally:
+            body.close()
+        return response
+
     def sweep(self) -> None:
         """While the front drains: no connection is kept idle, nor one that has not sent a request in time."""
         self.sweeper = None
