--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -107,8 +107,13 @@
             self.gap = self.loop.call_later(GAP, self.fail, SpoiltAnswer("it does not end"))
 
     def eof_received(self) -> None:
+        whole = self.reader.at_close() if self.reader else None
         if self.body:
+            if whole:
+                self.body.end(False)
             self.body.broke(SpoiltAnswer("the connection ended"))
+        elif whole and self.answer and not self.answer.done():
+            self.answer.set_result(whole)
         self.fail(SpoiltAnswer("the connection ended"))
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -175,6 +175,7 @@
         self.length: int | None = None  # of the body; None: in chunks
         self.chunks: StreamReader | None = None
         self.chunk_bytes = 0
+        self.until_close = False  # the end of the connection is the end of the body
         self.left = 0  # bytes of a long body of a known length that are still to come
         self.ended = self.clean = False  # the body is whole; and nothing came behind it
 
@@ -192,6 +193,8 @@
             head = bytes(self.buffer[:end])
             del self.buffer[:end]
             self.read_head(head)
+        if self.until_close:
+            return self.begin_long() if len(self.buffer) > MOST_WHOLE else None
         if self.length is None:
             return self.read_chunks()
         if self.length > MOST_WHOLE:
@@ -211,6 +214,11 @@
 
     def more(self, data: bytes) -> bytes:
         """The next bytes of a long body; ``ended`` tells when it is whole, ``clean`` that nothing follows."""
+        if self.until_close:
+            self.chunk_bytes += len(data)
+            if self.chunk_bytes > MOST_ANSWER:
+                raise SpoiltAnswer("too large")
+            return data
         if self.length is None:
             self.parse_chunks(data)
             assert self.chunks is not None
@@ -221,6 +229,12 @@
         self.ended, self.clean = not self.left, len(data) == len(part)
         return part
 
+    def at_close(self) -> Answer | None:
+        """The connection has ended in order: the whole of an answer that ends with it, if it is one."""
+        if not self.until_close or self.message is None:
+            return None
+        return self.whole(bytes(self.buffer), False)
+
     def reusable(self) -> bool:
         return self.clean and self.message is not None and not self.message.should_close
 
@@ -246,6 +260,8 @@
             self.parser, self.chunks = parser, payload
         elif length is None and message.code != 200:
             self.length = 0  # its head says all; without a length the connection is not used again
+        elif length is None and "close" in message.headers.get("Connection", "").lower():
+            self.until_close = True  # RFC 9112, 6.3: without a length it ends with its connection
         elif length is None or not length.isdecimal() or int(length) > MOST_ANSWER:
             raise SpoiltAnswer("its length is missing or too large")
         else:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -59,7 +59,11 @@
 
         async def script(trace: str) -> AsyncIterator[bytes]:
             async def pieces() -> AsyncIterator[bytes]:
-                if trace == "chunked":
+                if trace in ("closes", "closes-short"):
+                    yield b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n"
+                    yield body if trace == "closes" else body[:9]
+                    yield b""
+                elif trace == "chunked":
                     yield b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
                     for start in range(0, len(body), 50_000):
                         part = body[start : start + 50_000]
@@ -75,6 +79,8 @@
             self.assertEqual(await self.ask(trace), (200, body), trace)
             await asyncio.sleep(0.05)  # a connection rests before it is used again
         self.assertEqual((self.box.accepted, self.boxes.open), (1, 1))
+        self.assertEqual(await self.ask("closes"), (200, body))
+        self.assertEqual(await self.ask("closes-short"), (200, body[:9]))
 
     async def test_first_bytes_pass_on_before_the_last_have_come_and_after_the_deadline_too(self) -> None:
         body, release = self.body, asyncio.Event()
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -104,7 +104,9 @@
                 async for piece in answer:
                     writer.write(piece)
                     await writer.drain()
-                    if not piece:  # it breaks off
+                    if not piece:  # it ends here, in order
+                        writer.write_eof()
+                        await reader.read()
                         return
 
 
