--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -8,11 +8,12 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import structlog
 
 from cleatyoke import BEGAN, api
-from cleatyoke.config import BadConfig, Config, read_config
+from cleatyoke.config import Address, BadConfig, Config, read_config
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
 from cleatyoke.faults import Faults
@@ -29,6 +30,9 @@
 from cleatyoke.sftp.front import FileFront
 from cleatyoke.vrrp import Carrier
 
+if TYPE_CHECKING:
+    from cleatyoke.net.metrics import MetricsListener
+
 FIRST_WORD = 1.0  # seconds for discovery's first word where there is no old list to serve by
 LOOK = 0.02  # seconds between looks for what is still open while the process leaves
 log = structlog.get_logger()
@@ -104,7 +108,8 @@
             config.discovery, self.directory, self.core.tell, settings.hosts, config.seed, self.faults
         )
         self.control: ControlListener | None = None
-        self.files, self.closing_files = FileService(), False
+        self.metrics: MetricsListener | None = None
+        self.files = FileService()
 
     def asked(self) -> None:
         """SIGTERM or SIGINT."""
@@ -141,9 +146,23 @@
             except OSError as error:
                 raise BadConfig(f"ops: {error}") from error
             self.control.start()
+        if config.metrics:
+            self.metrics = self.open_metrics(config.metrics)
         self.handed.start()
         self.lives.start(self.core.tell)
 
+    def open_metrics(self, address: Address) -> MetricsListener:
+        try:
+            from cleatyoke.net.metrics import (
+                MetricsListener,  # an optional extra, imported only where it is on
+            )
+
+            return MetricsListener(
+                address, self.figures, lambda: (len(self.directory.boxes), self.directory.down())
+            )
+        except (ImportError, OSError) as error:
+            raise BadConfig(f"metrics: {error}") from error
+
     def commands(self) -> Commands:
         front, directory = self.front, self.directory
         return Commands(
@@ -225,6 +244,7 @@
             "holds": self.handed.stop,
             "lives": self.lives.stop,
             "ops": self.control.stop if self.control else lambda: None,
+            "metrics": self.metrics.stop if self.metrics else lambda: None,
         }
         for name, act in steps.items():
             with self.faults.step(name):
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -117,6 +117,7 @@
     file_discovery: Address  # as the file has it, whatever RELAY_DISCOVERY says
     sftp: SftpFront | None = None
     vrrp: VrrpPeers | None = None
+    metrics: Address | None = None  # where the figures are told to Prometheus
     accept_fd: int | None = None  # a listening socket handed down by the platform, in place of ``listen``
     ops: Address | None = None  # the operators' control address
     state_dir: Path = Path("/tmp")  # $TMPDIR: what both processes of an upgrade share
@@ -135,7 +136,7 @@
         if lost := missing(self.keys, new.keys):
             raise BadConfig(f"{lost}: missing, and the file had it before")
         kept = ("name", "listen", "accept_fd", "ops", "state_dir", "shares", "dial_timeout", "idle_close",
-                "sftp", "vrrp")  # fmt: skip
+                "sftp", "vrrp", "metrics")  # fmt: skip
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
         self.keys = new.keys
         retired = self.follow(new)
@@ -344,7 +345,7 @@
     limits = facts.table("PolicyLimits")
     lanes, extra = facts.tables("Lanes"), facts.table("Extra", {})
     classes, plans = names(lanes), names(facts.tables("Contracts"))
-    sftp, vrrp = read_fronts(fronts, classes, plans)
+    sftp, vrrp, metrics = read_fronts(fronts, classes, plans)
     sockets = root.table("limits", {}).whole("sockets", 2 * SPARE_SOCKETS, 1 << 20, MOST_SOCKETS)
 
     def address(variable: str, key: str) -> Address:
@@ -373,6 +374,7 @@
         idle_close=limits.number("IdleCloseS", 30.0),
         sftp=sftp,
         vrrp=vrrp,
+        metrics=metrics,
         accept_fd=read_descriptor(environment.get("RELAY_ACCEPT_FD")),
         ops=address("RELAY_OPS", "ops") if environment.get("RELAY_OPS") or "ops" in values else None,
         state_dir=Path(environment.get("TMPDIR") or "/tmp"),
@@ -396,19 +398,28 @@
 
 def read_fronts(
     path: Path, classes: Mapping[str, int], plans: Mapping[str, int]
-) -> tuple[SftpFront | None, VrrpPeers | None]:
+) -> tuple[SftpFront | None, VrrpPeers | None, Address | None]:
     """The fronts file of the deployment; a front whose table is absent or not ``enabled`` is off."""
     try:
         values = tomllib.loads(path.read_text())
     except FileNotFoundError:
-        return None, None
+        return None, None, None
     except (OSError, ValueError) as error:
         raise BadConfig(f"{path.name}: {error}") from error
     root = Table(values, f"{path.name}: ")
     sftp = read_sftp(root.table("sftp", {}), classes, plans)
     vrrp = read_vrrp(root.table("vrrp", {}))
+    metrics = read_metrics(root.table("metrics", {}))
     root.nothing_else()
-    return sftp, vrrp
+    return sftp, vrrp, metrics
+
+
+def read_metrics(table: Table) -> Address | None:
+    if not table.flag("enabled"):
+        return None
+    listen = table.address("listen")
+    table.nothing_else()
+    return listen
 
 
 def read_sftp(table: Table, classes: Mapping[str, int], plans: Mapping[str, int]) -> SftpFront | None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+import subprocess
+import sys
 import tempfile
 import time
 import unittest
@@ -12,6 +14,7 @@
 import aiohttp
 
 from cleatyoke import api
+from cleatyoke.config import Address
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
 from cleatyoke.faults import Faults
@@ -19,11 +22,13 @@
 from cleatyoke.maintenance import Holds
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.handover import HoldFile
+from cleatyoke.net.metrics import MetricsListener
 from cleatyoke.net.ops import Commands, ControlListener, answer
 from cleatyoke.net.server import Front
 from tests.wire import HttpBox, config, instance, listed
 from tests.wire import answer as box_answer
 
+ROOT = Path(__file__).resolve().parent.parent
 HEADERS = {
     "X-Qos": "tile-read",
     "X-Plan": "public",
@@ -121,8 +126,6 @@
 
 class ListenerCase(unittest.TestCase):
     def test_callers_that_stall_or_send_noise_never_hold_up_another(self) -> None:
-        from cleatyoke.config import Address
-
         listener = ControlListener(Address("127.0.0.1", 0), commands())
         listener.start()
         port = listener.address.port
@@ -185,6 +188,30 @@
             async with client.get(self.url + "/up") as response:
                 self.assertEqual(response.status, 200)
 
+    async def test_a_scrape_tells_the_same_figures_as_the_control_address(self) -> None:
+        listener = MetricsListener(Address("127.0.0.1", 0), self.boxes.figures, lambda: (3, 1))
+        url = f"http://127.0.0.1:{listener.address.port}"
+        async with aiohttp.ClientSession() as client:
+            for trace, plan in (("a", "public"), ("b", "gold")):  # served, and turned down
+                headers = {**HEADERS, "X-Trace-Id": trace, "X-Plan": plan}
+                async with client.get(self.url + TARGET, headers=headers):
+                    pass
+            async with client.get(url + "/metrics") as response:
+                text = await response.text()
+            async with client.get(url + "/") as response:
+                self.assertEqual(response.status, 404)
+        listener.stop()
+        for line in (
+            'cleatyoke_requests_total{class="tile-read",outcome="success"} 1.0',
+            'cleatyoke_requests_total{class="tile-read",outcome="failure"} 1.0',
+            "cleatyoke_backend_calls_total 1.0", "cleatyoke_inflight 0.0", "cleatyoke_hosts_down 1.0",
+        ):  # fmt: skip
+            self.assertIn(line + "\n", text)
+
+    def test_the_exporter_is_not_imported_where_it_is_off(self) -> None:
+        look = "import sys, cleatyoke.__main__; sys.exit('prometheus_client' in sys.modules)"
+        self.assertEqual(subprocess.run([sys.executable, "-c", look], cwd=ROOT).returncode, 0)
+
     async def test_a_held_box_is_sent_nothing_at_once_and_a_second_process_holds_it_too(self) -> None:
         async with aiohttp.ClientSession() as client:
             headers = {**HEADERS, "X-Trace-Id": "a"}
