Use a cold box more as it warms, and by what comes within reserves where no rate is known

Change: the stated units grow as the box warms, as what it bears does (settings: cold part and ramp); a host also goes by the units due within reserves that come to it, a mean since its start, as their sum is within a warm box's power.

--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -48,6 +48,8 @@
         self.keys: dict[int, list[Request]] = {}  # requests of ordered classes, oldest first
         self.key_rest: dict[int | None, float] = {}
         self.usual: dict[int, float] = {}  # cell: mean units a second that this host had served there
+        self.due_units: dict[int, float] = {}  # cell: units due in full since the last control round
+        self.due_rate: dict[int, float] = {}  # cell: their mean, a second
         self.tries: dict[tuple[int, int, int | None], tuple[float, float]] = {}  # unserved: came, ended
         self.taken: deque[float] = deque()
         self.extras: deque[float] = deque()
@@ -149,8 +151,11 @@
             if node.up_since <= 0 or self.now - node.up_since >= self.safety.ramp:  # warm
                 kept = self.usual.get(node.cell, 0.0) * (1 - (self.now - began) / span)
                 self.usual[node.cell] = kept + node.done_units / span
+            kept = self.due_rate.get(node.cell, 0.0) * (1 - (self.now - began) / (span + IDLE / 16))
+            self.due_rate[node.cell] = kept + self.due_units.get(node.cell, 0.0) / (span + IDLE / 16)
             node.done_units = 0.0
             node.shares = {volume: store for volume, store in node.shares.items() if volume in self.volumes}
+        self.due_units = {}
         self.waited, self.answered = [0.0] * len(self.bounds), [0] * len(self.bounds)
         self.clean_up()
 
@@ -297,6 +302,7 @@
             due = min(volume.reserve.level, request.units)
             volume.reserve.level -= due
             volume.due[int(self.now)] += due
+            self.due_units[event.cell] = self.due_units.get(event.cell, 0.0) + due
         request.aim_at = min(request.arrived + request.kind.aim, request.deadline)
         if request.key is not None:
             self.keys.setdefault(request.key, []).append(request)
@@ -491,9 +497,10 @@
 
     def bears_at(self, node: Node) -> float:
         """Cold nodes: in debt for each send until this host's part of what the node bears has paid it off:
-        an even part of the stated units, or by its usual rate there, the mean one where it knows none. All
-        hosts' add up to what a warm node serves, of which load reports tell the part of its power; where they
-        leave room for more, some is saved up, as a host's few requests come in bunches."""
+        an even part of the stated units, which grow as it warms, or by its usual rate there, the mean one
+        where it knows none, or by what comes to it within reserves, as a host that has just started knows no
+        usual rate. All hosts' add up to what a warm node serves, of which load reports tell the part of its
+        power; some is saved up, as a host's few requests come in bunches."""
         safety, age = self.safety, self.now - node.up_since
         if node.up_since <= 0 or age >= safety.ramp:
             return self.now
@@ -502,7 +509,9 @@
         mean = sum(self.usual.values()) / max(1, len(self.usual))
         usual = self.usual.get(node.cell, mean) * share * safety.tip_multiple * room
         stated = self.settings.cold_units / safety.tip_after / self.hosts * self.share.part
-        rate = max(usual, stated, 1e-9)
+        warmth = share / safety.cold_from if safety.cold_from else 1.0
+        due = self.due_rate.get(node.cell, 0.0) * share * safety.tip_multiple
+        rate = max(usual, stated * warmth, due, 1e-9)
         node.cold.fill(rate, usual * safety.tip_after * (1 - 1 / room), self.now)
         return self.now - node.cold.level / rate
 
