Pass Idempotency-Key on unchanged, and turn a keyed request without a good one away

Change: the key is read, passed on with every attempt, also for classes that need none; missing, empty, doubled, longer than 256 bytes or not visible ASCII it is a 400 before any attempt and one log event.

--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -24,12 +24,14 @@
 MOST_ANSWER = 64 * 1024 * 1024  # bytes of the longest body of a box's answer: twice what boxes send
 LONGEST_WAIT_MS = 600_000
 MOST_ID = 128
+MOST_KEY = 256  # bytes of an Idempotency-Key
 MOST_HEAD = 16 * 1024  # bytes of the head of a box's answer
 MOST_EARLY = 8  # 1xx answers in front of one
 PLAIN = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
 UTIL = re.compile(r"\b(?:util|cpu) *= *([0-9]{1,6}(?:\.[0-9]{1,9})?)\b(?!\.)")  # in a load report
 VISIBLE = re.compile(r"[!-~]+")
 FIELDS = ("X-Trace-Id", "X-Qos", "X-Plan", "X-Expires-In-Ms", "X-IO", "Content-Length")
+KEY = "Idempotency-Key"
 STATES = {
     "SERVING": api.NodeState.LIVE,
     "DRAINING": api.NodeState.DRAINING,
@@ -41,6 +43,10 @@
     """A message that cannot be taken; the text names the faulty field."""
 
 
+class BadKey(BadMessage):
+    """A request whose ``Idempotency-Key`` is missing or cannot be passed on as it is."""
+
+
 @dataclass(slots=True)
 class Ask:
     """A client's request."""
@@ -57,6 +63,7 @@
     hosts: int
     wait: float  # seconds that the client waits, from the last byte of its request
     body: list[bytes]  # in pieces as they came, never joined: a long one would be in memory twice
+    key: str | None = None  # by which boxes drop a repeat
 
 
 def whole(text: str | None, name: str, least: int, most: int, base: int = 10) -> int:
@@ -124,9 +131,24 @@
         hosts=whole(fields.get("hosts"), "X-IO hosts", 1, 1 << 20),
         wait=min(wait, config.give_up[index]),  # a longer word would hold a box's slot for as long
         body=body,
+        key=read_key(headers, config.settings.classes[index].repeat),
     )
 
 
+def read_key(headers: CIMultiDictProxy[str], repeat: api.Repeat) -> str | None:
+    """The ``Idempotency-Key``, which a keyed class carries and which passes on unchanged (protocol page,
+    Clients to fronts). Without it, or with one that a box may read in another way, a repeat would run twice:
+    a ``BadKey``. Other classes may carry one too."""
+    keys = headers.getall(KEY, [])
+    if not keys and repeat is not api.Repeat.KEYED:
+        return None
+    if len(keys) != 1:
+        raise BadKey(f"{KEY}: want one, found {len(keys)}")
+    if not VISIBLE.fullmatch(keys[0]) or len(keys[0]) > MOST_KEY:
+        raise BadKey(f"{KEY}: want up to {MOST_KEY} visible ASCII characters")
+    return keys[0]
+
+
 def origin_form(target: str) -> str:
     """A target without scheme and authority, which a client may send and a server has to take (RFC 9112,
     3.2.2); the authority names this front, whatever it says."""
@@ -137,13 +159,14 @@
 
 
 def encode_attempt(ask: Ask, box: Address, wait: float) -> list[bytes]:
-    """An attempt as it is written, piece by piece; method, target, id and body pass on as they are."""
+    """An attempt as it is written, piece by piece; method, target, id, key and body pass on as they are."""
     host = f"[{box.host}]" if ":" in box.host else box.host
     size = sum(map(len, ask.body))
     length = f"Content-Length: {size}\r\n" if size or ask.method != "GET" else ""
+    key = f"{KEY}: {ask.key}\r\n" if ask.key is not None else ""
     head = (
         f"{ask.method} {ask.target} HTTP/1.1\r\nHost: {host}:{box.port}\r\nX-Trace-Id: {ask.trace}\r\n"
-        f"X-Expires-In-Ms: {max(0, int(wait * 1000))}\r\n{length}\r\n"
+        f"{key}X-Expires-In-Ms: {max(0, int(wait * 1000))}\r\n{length}\r\n"
     ).encode("ascii")
     return [head + b"".join(ask.body)] if size <= MOST_WHOLE else [head, *ask.body]
 
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -19,7 +19,7 @@
 from cleatyoke.core import ATTEMPT_MARGIN, Core, Ending, Failed, Refused, Served
 from cleatyoke.maintenance import Drain
 from cleatyoke.net.boxes import Boxes, LongBody
-from cleatyoke.net.messages import Ask, BadMessage, SpoiltAnswer, decode_ask
+from cleatyoke.net.messages import Ask, BadKey, BadMessage, SpoiltAnswer, decode_ask
 from cleatyoke.net.sockets import Listener, unread
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
@@ -266,6 +266,8 @@
         except web.RequestPayloadError:
             return web.Response(status=400, text="unreadable body\n")
         except BadMessage as error:
+            if isinstance(error, BadKey):
+                log.warning("key_refused", why=str(error))
             return web.Response(status=400, text=f"{error}\n")
         if client.crowded():
             return web.Response(status=400, text="one request at a time\n")
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,56 @@
+"""Keyed classes on the wire: the ``Idempotency-Key`` passes on unchanged, and none goes on without a good one."""
+
+from __future__ import annotations
+
+from structlog.testing import capture_logs
+
+from cleatyoke import api
+from tests.host import class_spec
+from tests.test_http_front import FrontCase
+from tests.wire import answer
+
+
+class KeyStories(FrontCase):
+    async def begin_keyed(self, fails: int = 0) -> None:
+        self.tried = 0
+
+        async def script(trace: str) -> bytes | None:
+            self.tried += 1
+            return None if self.tried <= fails else answer()
+
+        await self.begin(script)
+        keyed = class_spec(repeat=api.Repeat.KEYED, scope=api.Scope.CELL, memory=2.5, worth=2.0)
+        for settings in (self.front.config.settings, self.core.policy.settings):
+            settings.classes[1] = keyed
+
+    async def test_the_key_passes_on_unchanged_with_every_attempt(self) -> None:
+        await self.begin_keyed(fails=1)
+        status, _ = await self.ask("t1", "PUT", b"scan", Idempotency_Key='visit/7,"a";=~')
+        self.assertEqual(status, 200)
+        self.assertEqual(len(self.box.heads), 2)  # within its window a keyed write may go again
+        for head in self.box.heads:
+            self.assertEqual(head.count('\r\nIdempotency-Key: visit/7,"a";=~\r\n'), 1, head)
+
+    async def test_a_key_of_a_class_that_needs_none_passes_on_too(self) -> None:
+        await self.begin_keyed()
+        self.assertEqual((await self.ask("t1", Idempotency_Key="k" * 256))[0], 200)
+        self.assertEqual((await self.ask("t2"))[0], 200)
+        self.assertIn(f"\r\nIdempotency-Key: {'k' * 256}\r\n", self.box.heads[0])
+        self.assertNotIn("Idempotency-Key", self.box.heads[1])
+
+    async def test_a_keyed_request_without_a_good_key_is_an_error_before_any_attempt(self) -> None:
+        await self.begin_keyed()
+        bad = {
+            "missing": [], "empty": [b""], "long": [b"k" * 257], "twice": [b"a", b"a"],
+            "blank": [b"a b"], "foreign": [b"caf\xc3\xa9"],
+        }  # fmt: skip
+        for name, keys in bad.items():
+            line = b"".join(b"Idempotency-Key: %s\r\n" % key for key in keys)
+            head = self.head(name, "Content-Length: 4", method="PUT")[:-2]
+            head = head.replace(b"tile-read", b"record-write")
+            with self.subTest(name), capture_logs() as logs:
+                reader, writer = await self.raw(head, line, b"\r\nscan")
+                self.assertIn(b" 400 ", await reader.readline())
+                writer.close()
+                self.assertEqual([one["event"] for one in logs], ["key_refused"])
+        self.assertEqual(self.box.heads, [])
