--- a/cleatyoke/standin/peer.py
+++ b/cleatyoke/standin/peer.py
@@ -6,6 +6,16 @@
 from typing import Any
 
 
+class TimedReader(asyncio.StreamReader):
+    """Knows when the latest bytes came, however late whoever reads them gets to it."""
+
+    came = 0.0  # on the loop's clock
+
+    def feed_data(self, data: Any) -> None:
+        self.came = asyncio.get_running_loop().time()
+        super().feed_data(data)
+
+
 class Peer:
     """A listener on loopback whose connections are handled by the subclass. ``open`` counts those that stand,
     ``accepted`` all that came. Its port stays from one life to the next."""
@@ -17,7 +27,11 @@
         self.handlers: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> Any:
-        self.server = await asyncio.start_server(self.connected, "127.0.0.1", self.port, backlog=512)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: asyncio.StreamReaderProtocol(TimedReader(loop=loop), self.connected, loop=loop),
+            "127.0.0.1", self.port, backlog=512,
+        )  # fmt: skip
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
