Draw deployments and troubles at random, play them, and keep the shortest that breaks a rule

Change: standin/draw.py draws both by a seed, standin/search.py plays them a few at a time and makes what breaks a rule shorter; 5 draws of troubles and 20 of settings are played in the suite, and four wrong programs (key dropped, keyed group ignored, limit unheld, attempts uncounted) must be caught there.

--- /dev/null
+++ b/tests/test_search.py
@@ -0,0 +1,96 @@
+"""Drawn scenarios: what is drawn, how one is made shorter, a fixed part of the draws, and wrong programs."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+import tomllib
+import unittest
+from collections.abc import Iterable
+from pathlib import Path
+
+from cleatyoke.config import REPEATS
+from cleatyoke.standin.draw import THEMES, Values, draw, dump
+from cleatyoke.standin.play import ROOT, Report
+from cleatyoke.standin.scenario import make_scenario
+from cleatyoke.standin.search import play_values, pool, rules, shorten
+
+JOBS = 5
+TROUBLES, SETTINGS = range(1, 6), range(1, 21)
+
+
+class DrawCase(unittest.TestCase):
+    def test_a_draw_is_the_same_each_time_and_a_scenario_file_as_it_is_written(self) -> None:
+        for theme in THEMES:
+            for seed in range(200):
+                values = draw(theme, seed)
+                self.assertEqual(values, draw(theme, seed))
+                again = tomllib.loads(dump(values))
+                self.assertEqual(make_scenario("x", again), make_scenario("x", values))
+
+    def test_the_draws_reach_the_ends_of_the_page(self) -> None:
+        drawn = [make_scenario("x", draw("settings", seed)) for seed in range(200)]
+        self.assertEqual({len(one.kinds) for one in drawn}, set(range(1, 7)))
+        self.assertEqual({one.terms.attempts for one in drawn}, set(range(1, 7)))
+        self.assertEqual({one.terms.report for one in drawn}, {"answers", "probe", "none"})
+        self.assertEqual({kind.repeat for one in drawn for kind in one.kinds}, set(REPEATS.values()))
+        self.assertEqual(len({(kind.repeat, kind.scope) for one in drawn for kind in one.kinds}), 9)
+        self.assertEqual({bool(plan.limit) for one in drawn for plan in one.plans}, {True, False})
+        spans = sorted(kind.deadline for one in drawn for kind in one.kinds)
+        self.assertTrue(spans[0] < 0.3 and spans[-1] > 7)
+        self.assertTrue(min(one.boxes for one in drawn) == 1 and max(one.boxes for one in drawn) == 20)
+
+    def test_a_scenario_is_made_as_short_as_it_still_breaks_its_rule(self) -> None:
+        guilty = {"at": 1.0, "kind": "kill", "of": [0]}
+
+        def breaks(values: Values) -> set[str]:
+            held = guilty in values.get("trouble", []) and values["fleet"]["seconds"] > 2
+            return {"limit"} if held else {"cold"}
+
+        values = draw("trouble", 1)
+        values["trouble"].insert(1, guilty)
+        short = shorten(values, "limit", breaks)
+        self.assertEqual(short["trouble"], [guilty])
+        self.assertEqual(len(short["plan"]), 1)
+        self.assertTrue(2 < short["fleet"]["seconds"] < 3)
+        self.assertEqual(shorten(values, "limit", breaks, most=0), values)
+
+
+class PlayedDraws(unittest.TestCase):
+    def play(self, draws: Iterable[tuple[str, int]]) -> dict[str, Report]:
+        with pool(JOBS) as workers:
+            out = {
+                f"{theme}:{seed}": workers.submit(play_values, f"{theme}-{seed}", draw(theme, seed))
+                for theme, seed in draws
+            }
+            return {name: future.result() for name, future in out.items()}
+
+    def test_no_rule_breaks_in_any_drawn_deployment_or_trouble(self) -> None:
+        themes = [("trouble", seed) for seed in TROUBLES] + [("settings", seed) for seed in SETTINGS]
+        for name, report in self.play(themes).items():
+            with self.subTest(name):
+                self.assertEqual(report.broken, [], "\n".join(report.lines()))
+                self.assertEqual([event for event in report.log if event.endswith("_fault")], [])
+                self.assertGreater(report.answers["200"], 10)
+
+    def test_wrong_programs_are_caught(self) -> None:
+        """One line is wrong in each, and the draw named says so by its rule."""
+        wrong = {
+            "mangled": ("net/messages.py", "if ask.key is not None else", "if not ask.key else", "settings", 1),
+            "key": ("rules.py", "if not request.ran or request.kind.repeat is Repeat.FREE:", "if True:",
+                    "settings", 12),
+            "limit": ("rules.py", "if not plan.limit or request.sends:", "if True:", "trouble", 4),
+            "attempts": ("rules.py", "request.sends >= self.settings.max_attempts", "False", "settings", 3),
+        }  # fmt: skip
+        with tempfile.TemporaryDirectory() as folder, pool(JOBS) as workers:
+            plays = {}
+            for rule, (part, right, changed, theme, seed) in wrong.items():
+                program = Path(folder) / rule
+                shutil.copytree(ROOT / "cleatyoke", program / "cleatyoke")
+                text = (program / "cleatyoke" / part).read_text()
+                self.assertEqual(text.count(right), 1)
+                (program / "cleatyoke" / part).write_text(text.replace(right, changed))
+                plays[rule] = workers.submit(play_values, rule, draw(theme, seed), program)
+            for rule, play in plays.items():
+                with self.subTest(rule):
+                    self.assertIn(rule, rules(play.result().broken))
