Accept while the quickest class can still be answered, as a front that leaves is its clients' only one

Cause: Notice.of (lifecycle.py) stops accepting at twice the LONGEST aim before the end. On the first deployment all aims are equal; here they are 0.11, 0.21 and 0.61 s, and the longest shut the door a second early on all. Change: the shortest aim says it; longer classes keep their deadline cut to the end.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -200,7 +200,10 @@
             self.discovery.move(self.config.discovery)
 
     def notice(self) -> Notice:
-        return Notice.of(self.config.notice(), [kind.aim for kind in self.config.settings.classes])
+        classes = self.config.settings.classes
+        return Notice.of(
+            self.config.notice(), [classes[place].aim for place in self.config.classes.values()]
+        )
 
     async def serve(self) -> None:
         """From the first client to the last answer."""
--- a/cleatyoke/lifecycle.py
+++ b/cleatyoke/lifecycle.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 LINGER = 0.75  # seconds after SIGTERM in which everything is accepted at the least: the page's 0.7, and slack
-ANSWERS = 2.0  # times the longest aim: what is kept for what is taken last
+ANSWERS = 2.0  # times the shortest aim: what is kept for what is taken last
 EXIT = 0.15  # seconds kept for the exit itself
 
 
@@ -54,9 +54,10 @@
     @classmethod
     def of(cls, notice: float, aims: Sequence[float]) -> Notice:
         """``notice``: seconds from SIGTERM to SIGKILL. ``aims``: of the classes, in seconds. Accepting goes
-        on for as long as what comes last can still be answered, as clients could come back by no other."""
+        on for as long as the quickest class can still be answered, as clients could come back by no other;
+        what takes longer has its deadline cut to ``last``, and is refused at once where it cannot meet it."""
         last = max(LINGER, notice - EXIT)
-        return cls(LINGER, max(LINGER, last - ANSWERS * max(aims, default=0.0)), last)
+        return cls(LINGER, max(LINGER, last - ANSWERS * min(aims, default=0.0)), last)
 
 
 class Lifecycle:
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -45,6 +45,12 @@
         life.released()
         self.assertEqual((life.stage, life.status), (Stage.ENDED, Status.LEFT))
 
+    def test_the_quickest_class_says_how_long_it_accepts(self) -> None:
+        """One class that may take long must not shut the door on the others for as long."""
+        notice = Notice.of(2.74, [0.11, 0.21, 0.61])
+        self.assertAlmostEqual(notice.accept, 2.74 - 0.15 - 2 * 0.11)
+        self.assertEqual(Notice.of(0.8, [0.5, 5.0]).accept, 0.75)
+
     def test_it_ends_with_the_last_answer_and_not_before_accepting_has_ended(self) -> None:
         life = leaving()
         self.assertEqual(life.step(101.0, 0, 0), [Order.CLOSE_FILES])
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -76,7 +76,7 @@
     def test_wrong_programs_are_caught(self) -> None:
         """One line is wrong in each, and the draw named says so by its rule."""
         wrong = {
-            "mangled": ("net/messages.py", "if ask.key is not None else", "if not ask.key else", "settings", 1),
+            "mangled": ("net/messages.py", "if ask.key is not None", "if not ask.key", "settings", 1),
             "key": ("rules.py", "if not request.ran or request.kind.repeat is Repeat.FREE:", "if True:",
                     "settings", 12),
             "limit": ("rules.py", "if not plan.limit or request.sends:", "if True:", "trouble", 4),
