Tell service from queue by class, and wait for late answers by what they still earn

Causes, all in rules.py, hidden by a first deployment whose classes take like work and whose late answers earn like parts: (1) node.pace was seconds a unit whatever the class; where classes differ by 2.3 in work, the light one's pace makes the heavy ones' service look like a queue. Now by class as well. (2) A keyed attempt was called off as a free one, though it may go nowhere but where it ran: now as one that must not run again. (3) An attempt was waited for three times an answer; now by what a late one earns (30 x LateShare: 3 on the first deployment as before, 6 to 7.5 here).

--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -22,7 +22,8 @@
 MARGIN = 0.04  # seconds kept clear of a deadline or memory: looks and sends take time
 IDLE = 60.0  # seconds after which an unused volume is forgotten: a reserve has long filled up again
 QUEUE_SHARE = 0.125  # part of the tightest aim to wait at a node; the rest is for service and the held queue
-OVERDUE = 3.0  # times what an answer should take: how long an attempt may be out, or its aim if longer
+OVERDUE = 30.0  # times what an answer should take, by the part of the worth that a late one earns: how long
+# an attempt may be out, or its aim if longer
 LOST = 0.4  # of the aim: the least for which an attempt whose answer seems lost may be out
 GAIN = 0.1  # weight of one answer in a running mean, more where answers are rare
 OTHERS = 1.0  # seconds over which the use of volumes through other hosts is averaged
@@ -39,7 +40,7 @@
         count = len(settings.classes)
         self.tune(settings)
         self.busy = 1.0  # mean part of the nodes' power in use, as they report; at first unknown
-        self.pace = 0.0  # seconds of service a unit at any node: what a new one is taken to need
+        self.paces = [0.0] * count  # by class, seconds of service a unit at any node; 0: none is known yet
         self.requests: dict[str, Request] = {}
         self.held: dict[int, list[Request]] = {}  # cell: requests waiting for it; -1: for any
         self.nodes: dict[int, Node] = {}
@@ -238,7 +239,11 @@
         return self.now + self.answer_time(request, node) <= request.aim_at
 
     def answer_time(self, request: Request, node: Node) -> float:
-        return node.queued + node.pace * request.units
+        return node.queued + node.pace * request.units * self.heaviness(request.index)
+
+    def heaviness(self, index: int) -> float:
+        """Work of a unit of this class, against the lightest one's, by this host's own answers."""
+        return self.paces[index] / min(pace for pace in self.paces if pace) if self.paces[index] else 1.0
 
     def sure(self, request: Request, node: Node) -> bool:
         return still_due(request) >= request.units and self.timely(request, node)
@@ -359,15 +364,16 @@
 
     def patience(self, request: Request, node: Node, sent: float) -> float:
         """How long an attempt may be out, by its node's own record: its aim at least, or a part of that where
-        one that was sent later is answered already, as nodes take requests in turn."""
+        one that was sent later is answered already, as nodes take requests in turn. Past its aim it is waited
+        for by what a late answer still earns: nothing, and its slot is better used at once."""
         least = request.kind.aim * (LOST if node.latest > sent else 1.0)
-        return max(least, OVERDUE * self.answer_time(request, node))
+        return max(least, OVERDUE * request.kind.late_share * self.answer_time(request, node))
 
     def call_off_overdue(self, request: Request) -> None:
         """An attempt past its patience gives its slot back. Guards against lost answers and hanging nodes.
-        Harms where a node turns slow at once. One that must not run again fails by this: it goes only where
-        its answer seems lost, and past its aim."""
-        once = request.kind.repeat is Repeat.ONCE
+        Harms where a node turns slow at once. One that must not run again, or only where it ran, fails by
+        this: it goes only where its answer seems lost, and past its aim."""
+        once = request.kind.repeat is not Repeat.FREE
         for attempt, (node, sent) in request.out.items() if self.settings.cancel else ():
             due = sent + self.patience(request, node, sent)
             if once:
@@ -383,7 +389,7 @@
         if event.outcome is Outcome.SERVED:
             node.latest = max(node.latest, sent)
             gap, node.answered, node.failures = min(1.0, self.now - node.answered), self.now, 0
-            self.tell_service_from_queue(node, event.spent, request.units, max(GAIN, gap / 2))
+            self.tell_service_from_queue(node, event.spent, request, max(GAIN, gap / 2))
             node.done_units += request.units
             if node.queued < self.queue_aim or node.depth <= 1:
                 spare = node.spare * clamp(self.queue_aim / max(node.queued, 1e-9), 0.1, 10.0) ** gap
@@ -397,20 +403,22 @@
         ):
             node.depth, node.failures = max(1.0, node.depth / 2), node.failures + 1
             if node.failures > 1:  # in a row: not a lost answer but a slow or silent node
-                waited = max(node.queued, event.spent - node.pace * request.units)
+                served = node.pace * request.units * self.heaviness(request.index)
+                waited = max(node.queued, event.spent - served)
                 node.queued += min(1.0, GAIN * node.failures) * (waited - node.queued)
             if event.outcome in NEVER_RAN:
                 # Guards the few attempts: dead nodes still listed, full queues. Harms after chance refusals.
                 node.hold_until = self.now + self.queue_aim * min(2**node.failures, 1 / QUEUE_SHARE)
 
-    def tell_service_from_queue(self, node: Node, spent: float, units: float, gain: float) -> None:
-        """Work goes with units: a node's short answers by units are its service, the rest its queue. Guards
-        against slow nodes and large requests taken for queues. Harms where no answer is short for long."""
-        pace = spent / units
-        self.pace = short_mean(self.pace or pace, pace)
-        node.pace = short_mean(node.pace or self.pace, pace)
-        queued = max(0.0, spent - node.pace * units)
-        if units < self.settings.largest or queued < node.queued:  # the largest may be more than they count
+    def tell_service_from_queue(self, node: Node, spent: float, request: Request, gain: float) -> None:
+        """Work goes with units and class: a node's short answers by these are its service, the rest its
+        queue. Guards against slow nodes and large requests taken for queues. Harms where none is short."""
+        index, pace = request.index, spent / request.units
+        self.paces[index] = short_mean(self.paces[index] or pace, pace)
+        work = request.units * self.heaviness(index)
+        node.pace = short_mean(node.pace or min(one for one in self.paces if one), spent / work)
+        queued = max(0.0, spent - node.pace * work)
+        if request.units < self.settings.largest or queued < node.queued:  # may be more than they count
             node.queued += gain * (queued - node.queued)
 
     def on_retuned(self, event: api.Retuned) -> None:
@@ -425,6 +433,7 @@
         self.asks = list(self.bounds)
         self.history = [[] for _ in range(count)]
         self.waited, self.answered = self.waited + [0.0] * fresh, self.answered + [0] * fresh
+        self.paces += [0.0] * fresh
         for node in self.nodes.values():
             node.add_classes(fresh)
 
