--- /dev/null
+++ b/cleatyoke/fleet/wire.py
@@ -0,0 +1,165 @@
+"""Messages among fronts: MessagePack by msgspec, checked whole on arrival, refused with a reason
+otherwise.
+
+Every message carries the deployment's name and the version of this form, so that neither a foreign fleet
+nor an older program is taken for a peer. A datagram holds ``MOST_DATAGRAM`` bytes at most, which is below
+the MTU of common links, so that it is not cut in fragments of which one may be lost.
+"""
+
+from __future__ import annotations
+
+import enum
+import zlib
+from typing import Annotated
+
+import msgspec
+
+VERSION = 1
+MOST_DATAGRAM = 1200  # bytes
+MOST_STREAM = 1 << 20  # bytes of a whole view: some ten thousand lives
+SUM = 4  # bytes of the checksum at the end
+MOST_LIVES = 10_000  # entries of a whole view
+
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+Count = Annotated[int, msgspec.Meta(ge=0, lt=1 << 53)]
+
+
+class State(enum.IntEnum):
+    """In the order of what overrides what at one count."""
+
+    ALIVE = 0
+    SUSPECT = 1  # it did not answer somebody; it may say so yet
+    DEAD = 2  # believed to be: silence proves nothing
+    LEFT = 3  # by its own word: certain
+
+
+class Id(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """A life of a front: its name and its boot number, which only rises from one life to the next."""
+
+    name: Text
+    boot: Count
+
+
+class Rumour(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """What somebody says of a life. ``count`` is the life's own: only it counts on, to refute a rumour."""
+
+    id: Id
+    address: Text
+    state: State
+    count: Count
+    alone: bool = False  # it holds the address of its name, which no earlier life can then
+    by: Annotated[str, msgspec.Meta(max_length=64)] = ""  # who accuses it, where it is suspected
+
+
+class Ping(msgspec.Struct, array_like=True, frozen=True, tag="ping", forbid_unknown_fields=True):
+    """Are you there? ``target`` guards against an address that another life has taken over."""
+
+    number: Count
+    target: Id
+
+
+class Ack(msgspec.Struct, array_like=True, frozen=True, tag="ack", forbid_unknown_fields=True):
+    number: Count
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag="ask", forbid_unknown_fields=True):
+    """Ping ``target`` for me (SWIM's ping-req)."""
+
+    number: Count
+    target: Id
+    address: Text
+
+
+class Nack(msgspec.Struct, array_like=True, frozen=True, tag="nack", forbid_unknown_fields=True):
+    """I have asked it for you, and have no answer yet (Lifeguard): so at least we two hear each other."""
+
+    number: Count
+
+
+class Gossip(msgspec.Struct, array_like=True, frozen=True, tag="gossip", forbid_unknown_fields=True):
+    """Nothing but the rumours that come with it."""
+
+
+Body = Ping | Ack | Ask | Nack | Gossip
+
+
+class Datagram(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    deployment: Text
+    version: Count
+    sender: Rumour
+    body: Body
+    rumours: Annotated[list[Rumour], msgspec.Meta(max_length=64)]
+
+
+class View(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """All that a life knows, for an exchange by stream."""
+
+    deployment: Text
+    version: Count
+    sender: Rumour
+    lives: Annotated[list[Rumour], msgspec.Meta(max_length=MOST_LIVES)]
+
+
+class Refused(ValueError):
+    """A message that is not taken; the text is the reason, one of a few words."""
+
+
+datagrams = msgspec.msgpack.Decoder(Datagram)
+views = msgspec.msgpack.Decoder(View)
+encoder = msgspec.msgpack.Encoder()
+
+
+def encode_datagram(
+    deployment: str, sender: Rumour, body: Body, rumours: list[Rumour]
+) -> tuple[bytes, int]:
+    """The datagram, and how many of the rumours, from the first on, had room in it."""
+    head = len(encoder.encode(Datagram(deployment, VERSION, sender, body, []))) + 3 + SUM  # and its length's
+    used, size = 0, head
+    for rumour in rumours[:64]:
+        size += len(encoder.encode(rumour))
+        if size > MOST_DATAGRAM:
+            break
+        used += 1
+    return sealed(encoder.encode(Datagram(deployment, VERSION, sender, body, rumours[:used]))), used
+
+
+def sealed(data: bytes) -> bytes:
+    return data + zlib.crc32(data).to_bytes(SUM, "big")
+
+
+def unsealed(data: bytes, most: int) -> bytes:
+    """A bit that flipped on the way could say of a life that it left, which is final."""
+    if len(data) > most:
+        raise Refused("too long")
+    if len(data) <= SUM or zlib.crc32(data[:-SUM]) != int.from_bytes(data[-SUM:], "big"):
+        raise Refused("corrupt")
+    return data[:-SUM]
+
+
+def decode_datagram(deployment: str, data: bytes) -> Datagram:
+    try:
+        message = datagrams.decode(unsealed(data, MOST_DATAGRAM))
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise Refused("unreadable") from error
+    check(deployment, message.deployment, message.version)
+    return message
+
+
+def encode_view(deployment: str, sender: Rumour, lives: list[Rumour]) -> bytes:
+    return sealed(encoder.encode(View(deployment, VERSION, sender, lives[:MOST_LIVES])))
+
+
+def decode_view(deployment: str, data: bytes) -> View:
+    try:
+        message = views.decode(unsealed(data, MOST_STREAM))
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise Refused("unreadable") from error
+    check(deployment, message.deployment, message.version)
+    return message
+
+
+def check(ours: str, theirs: str, version: int) -> None:
+    if theirs != ours:
+        raise Refused("foreign")
+    if version != VERSION:
+        raise Refused("version")
