--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -509,7 +509,7 @@
             return  # the most frequent case by far: old news
         if rank(rumour) > rank(old):
             self.changed(life, old, rumour)
-        elif rank(rumour) == rank(old) and rumour.state is State.SUSPECT and rumour.by not in life.accusers:
+        elif rank(rumour) == rank(old) and rumour.state is State.SUSPECT and rumour.by not in life.accusers:  # noqa: SIM102
             if len(life.accusers) < ACCUSERS:  # one more accuser: told on, as it shortens the suspicion
                 life.accusers.add(rumour.by)
                 life.rumour = rumour
