--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -151,6 +151,7 @@
     since: float  # of its state here
     accusers: set[str] = field(default_factory=set)
     heard: float = -math.inf  # directly, by a datagram or stream of its own
+    warned: float = -math.inf  # when it was last told, at once, what is believed of it
 
 
 @dataclass(slots=True)
@@ -223,14 +224,18 @@
         self.leaving = self.left = False
         self.figures = Figures()
         self.now = self.due = -math.inf
+        self.shift = 0.0  # seconds by which the clock that we are given went back
         self.next: dict[str, float] = {}
         self.actions: list[Action] = []
 
     # The step
 
     def step(self, now: float, events: Iterable[Event] = ()) -> list[Action]:
-        """Take in events and whatever is due. Times are of a monotonic clock."""
+        """Take in events and whatever is due. Times are of a monotonic clock; should one jump back, it goes on
+        here from where it was."""
         self.actions, self.news = [], []
+        self.shift = max(self.shift, self.now - now)
+        now += self.shift
         if not self.next:
             self.begin(now)
         elif now > self.due + self.timing.away:
@@ -240,20 +245,20 @@
             self.take(event)
         if not self.left:
             self.work()
-        self.due = self.next_at()
+        self.due = self.next_at() + self.shift
         return self.actions
 
     def next_at(self) -> float:
         """When the next step is due even if nothing comes."""
         if self.left:
             return math.inf
-        due = min(at for name, at in self.next.items() if name != "gossip" or self.queue)
+        due = min(at for name, at in self.next.items() if name != "gossip" or self.queue or self.leaving)
         for probe in self.probes.values():
             due = min(due, probe.over_at if probe.asked else probe.ask_at)
         for favour in self.favours.values():
             due = min(due, favour.nack_at)
         ends = map(self.suspicion_ends, self.doubted.values())
-        return max(self.now, min(due, min(ends, default=math.inf)))
+        return max(self.now, min(due, min(ends, default=math.inf))) - self.shift
 
     def begin(self, now: float) -> None:
         """Spread the first rounds, so that a fleet that starts as one does not go on as one."""
@@ -310,7 +315,7 @@
             self.next["sync"] = now + timing.sync * (0.75 + self.dice.random() / 2)
             if there := self.there():
                 self.exchange(self.lives[self.dice.choice(there)].rumour.address)
-        if now >= self.next["gossip"] and self.queue:
+        if now >= self.next["gossip"] and (self.queue or self.leaving):
             self.next["gossip"] = now + timing.gossip
             self.gossip()
 
@@ -418,8 +423,9 @@
                     self.figures.bytes_in += len(data)
                     view = decode_view(self.deployment, data)
                     self.merge(view.sender, view.lives, not self.joined)
-                    self.actions.append(Reply(token, self.view()))
-                    self.figures.bytes_out += len(data)
+                    answer = self.view()
+                    self.actions.append(Reply(token, answer))
+                    self.figures.bytes_out += len(answer)
                 case Answered(_, data) if data is not None:
                     self.figures.bytes_in += len(data)
                     view = decode_view(self.deployment, data)
@@ -462,8 +468,16 @@
                 self.probes[number].nacks += 1
             case Ack(number):
                 self.acked(number)
-        if life.rumour.state is not State.ALIVE and rank(life.rumour) > rank(sender):
-            self.send(sender.address, Gossip(), sender.id)  # tell it first, that it may refute
+        self.warn(life, sender)
+
+    def warn(self, life: Life, sender: Rumour) -> None:
+        """Tell it first what is believed of it, that it may refute; once in a while only: two that believe
+        each other dead, of which one cannot refute, would answer each other without end, and each datagram
+        that a link doubles would start another such exchange."""
+        doubted = life.rumour.state is not State.ALIVE and rank(life.rumour) > rank(sender)
+        if doubted and self.now >= life.warned + self.timing.answer:
+            life.warned = self.now
+            self.send(sender.address, Gossip(), sender.id)
 
     def acked(self, number: int) -> None:
         if number in self.probes:
@@ -509,11 +523,15 @@
             return  # the most frequent case by far: old news
         if rank(rumour) > rank(old):
             self.changed(life, old, rumour)
-        elif rank(rumour) == rank(old) and rumour.state is State.SUSPECT and rumour.by not in life.accusers:  # noqa: SIM102
-            if len(life.accusers) < ACCUSERS:  # one more accuser: told on, as it shortens the suspicion
-                life.accusers.add(rumour.by)
-                life.rumour = rumour
-                self.keep(life)
+        elif rank(rumour) == rank(old) and rumour.state is State.SUSPECT and self.accuses(life, rumour.by):
+            life.accusers.add(rumour.by)  # told on, as it shortens the suspicion
+            life.rumour = rumour
+            self.keep(life)
+
+    @staticmethod
+    def accuses(life: Life, by: str) -> bool:
+        """Whether this accuser is a further one that counts."""
+        return by not in life.accusers and len(life.accusers) < ACCUSERS
 
     def keep(self, life: Life) -> None:
         """Its rumour is new: told on from now, and found by its state."""
