--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -231,8 +231,8 @@
     # The step
 
     def step(self, now: float, events: Iterable[Event] = ()) -> list[Action]:
-        """Take in events and whatever is due. Times are of a monotonic clock; should one jump back, it goes on
-        here from where it was."""
+        """Take in events and whatever is due. Times are of a monotonic clock; should one jump back, it
+        goes on here from where it was."""
         self.actions, self.news = [], []
         self.shift = max(self.shift, self.now - now)
         now += self.shift
