--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
 import zlib
@@ -211,6 +212,7 @@
         self.lives: dict[Id, Life] = {}  # of others
         self.present: dict[Id, None] = {}  # of these, those that are alive or suspected ...
         self.doubted: dict[Id, Life] = {}  # ... those that are suspected ...
+        self.looks: dict[Id, float] = {}  # ... when each of these is pinged once more, by who suspects it ...
         self.departed: dict[Id, None] = {}  # ... those believed dead ...
         self.over: dict[Id, None] = {}  # ... and those that left, the first to leave first
         self.news: list[Id] = []  # of whom this step has brought something new
@@ -252,11 +254,14 @@
         """When the next step is due even if nothing comes."""
         if self.left:
             return math.inf
-        due = min(at for name, at in self.next.items() if name != "gossip" or self.queue or self.leaving)
+        idle = {"swap", "look"} if self.queue or self.leaving else {"swap", "look", "gossip"}
+        due = min(at for name, at in self.next.items() if name not in idle)
         for probe in self.probes.values():
             due = min(due, probe.over_at if probe.asked else probe.ask_at)
         for favour in self.favours.values():
             due = min(due, favour.nack_at)
+        for at in itertools.islice(self.looks.values(), 1):
+            due = min(due, max(at, self.next["look"]))
         ends = map(self.suspicion_ends, self.doubted.values())
         return max(self.now, min(due, min(ends, default=math.inf))) - self.shift
 
@@ -268,6 +273,7 @@
             ("departed", timing.departed),
         ):  # fmt: skip
             self.next[name] = now + self.dice.random() * every
+        self.next["swap"] = self.next["look"] = now  # not before
         self.next["join"] = now if self.seeds else math.inf
 
     def wake(self, now: float, gap: float) -> None:
@@ -308,6 +314,8 @@
         if now >= self.next["probe"]:
             self.next["probe"] = now + timing.period * (1 + self.health)
             self.probe_next()
+        if now >= self.next["look"]:
+            self.look_again()
         if now >= self.next["departed"]:
             self.next["departed"] = now + timing.departed
             self.probe_departed()
@@ -402,6 +410,17 @@
             self.number += 1
             self.send(self.lives[id].rumour.address, Ping(self.number, id), id)
 
+    def look_again(self) -> None:
+        """Ping one that has been suspected for a period. Its answer has its count, should its refutation not
+        have come by others, as rumours reach nearly all and not all; no answer accuses nobody."""
+        for id, at in self.looks.items():
+            if self.now >= at:
+                del self.looks[id]
+                self.next["look"] = self.now + self.timing.gossip
+                self.number += 1
+                self.send(self.lives[id].rumour.address, Ping(self.number, id), id)
+            return
+
     def suspicion_ends(self, life: Life) -> float:
         """Long with one accuser, shorter with each further one (Lifeguard's logarithm)."""
         timing, size = self.timing, len(self.lives) + 1
@@ -441,7 +460,7 @@
         sender, body = message.sender, message.body
         if sender.id == self.id:
             return
-        returned = sender.id in self.departed
+        returned, before = sender.id in self.departed, self.count
         self.believe(sender)
         life = self.lives.get(sender.id)
         if life is None:
@@ -450,8 +469,11 @@
         if returned and sender.id in self.present:  # a cut has healed: there may be more beyond it
             for _ in range(HEALS):
                 self.probe_departed()
+            self.swap(sender.address)
         for rumour in message.rumours:
             self.believe(rumour)
+        if self.count > before:  # it, or one it believes, held us for gone: our word back, which brings us back
+            self.send(sender.address, Gossip(), sender.id)
         match body:
             case Ping(number, target):
                 if target == self.id:
@@ -470,6 +492,13 @@
                 self.acked(number)
         self.warn(life, sender)
 
+    def swap(self, address: str) -> None:
+        """Exchange whole views with one from beyond a cut: what each side held for dead is suspected on the
+        other, where it can refute. Once in a while only, as all meet somebody at once."""
+        if self.now >= self.next["swap"]:
+            self.next["swap"] = self.now + self.timing.departed
+            self.exchange(address)
+
     def warn(self, life: Life, sender: Rumour) -> None:
         """Tell it first what is believed of it, that it may refute; once in a while only: two that believe
         each other dead, of which one cannot refute, would answer each other without end, and each datagram
@@ -547,9 +576,12 @@
             else:
                 kept.pop(id, None)
         if state is State.SUSPECT:
+            if id not in self.doubted:
+                self.looks[id] = self.now + self.timing.period
             self.doubted[id] = life
         else:
             self.doubted.pop(id, None)
+            self.looks.pop(id, None)
 
     def changed(self, life: Life, old: Rumour, rumour: Rumour) -> None:
         life.rumour = rumour
