Put the fleet's view on sockets: carrier, show-fleet, fault links, twelve processes

A second process of a name stands beside the first on a port of its own and takes the stated address when that is free. Found on the way: a process beside another dropped the stated address from its seeds, as it was its own.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -8,12 +8,14 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import structlog
 
 from cleatyoke import BEGAN, api, quick  # noqa: F401  quick: before anything imports aiohttp
-from cleatyoke.config import Address, BadConfig, Config, read_config
+from cleatyoke.config import FRONTS, Address, BadConfig, Config, FleetPeers, read_config
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
 from cleatyoke.faults import Faults
@@ -28,6 +30,7 @@
 from cleatyoke.net.sockets import NotListening
 
 if TYPE_CHECKING:
+    from cleatyoke.net.fleet import FleetView
     from cleatyoke.net.metrics import MetricsListener
     from cleatyoke.net.probes import Probes
     from cleatyoke.sftp.front import FileFront
@@ -91,8 +94,8 @@
 class Daemon:
     """One process of a front: what the start makes, how it serves, and the steps of its leaving."""
 
-    def __init__(self, config: Config) -> None:
-        self.config, self.loop = config, asyncio.get_running_loop()
+    def __init__(self, config: Config, fronts: Path) -> None:
+        self.config, self.fronts, self.loop = config, fronts, asyncio.get_running_loop()
         settings = config.settings
         self.life = Lifecycle(self.notice())
         self.signalled = asyncio.Event()
@@ -114,6 +117,7 @@
         self.control: ControlListener | None = None
         self.metrics: MetricsListener | None = None
         self.probes: Probes | None = None
+        self.fleet: FleetView | None = None
         self.files = FileService()
 
     def asked(self) -> None:
@@ -147,6 +151,8 @@
             raise BadConfig(f"RELAY_ACCEPT_FD: {error}") from error
         except OSError as error:
             raise BadConfig(f"listen: {error}") from error
+        if config.fleet:
+            self.fleet = await self.start_fleet(config.fleet)
         if config.ops:
             try:
                 self.control = ControlListener(config.ops, self.commands())
@@ -168,6 +174,17 @@
         probes.start()
         return probes
 
+    async def start_fleet(self, peers: FleetPeers) -> FleetView:
+        try:
+            from cleatyoke.net.fleet import FleetView  # an optional extra, imported only where it is on
+
+            config = self.config
+            view = FleetView(peers, config.name, config.settings.hosts, config.seed, self.faults)
+            await view.start()
+        except (ImportError, OSError) as error:
+            raise BadConfig(f"fleet: {error}") from error
+        return view
+
     def open_metrics(self, address: Address) -> MetricsListener:
         try:
             from cleatyoke.net.metrics import (
@@ -181,22 +198,26 @@
             raise BadConfig(f"metrics: {error}") from error
 
     def commands(self) -> Commands:
-        front, directory = self.front, self.directory
+        front, directory, fleet = self.front, self.directory, self.fleet
+
+        def figures() -> list[str]:
+            lines = self.figures.lines(list(self.config.classes), len(directory.boxes), directory.down())
+            return lines + (fleet.figures() if fleet else [])
+
         return Commands(
             ready=lambda: bool(front.listener) and not front.closing and front.drain.says_up(front.ready()),
-            figures=lambda: self.figures.lines(
-                list(self.config.classes), len(directory.boxes), directory.down()
-            ),
+            figures=figures,
             disable=self.handed.disable,
             enable=self.handed.enable,
             drain=front.drained,
             resume=front.drain.resume,
+            fleet=fleet.lines if fleet else None,
         )
 
     def reload(self) -> None:
         """SIGHUP: the file is read again, and kept out as a whole where it has a fault of whatever kind."""
         try:
-            taken = self.config.reload(read_config(os.environ))
+            taken = self.config.reload(read_config(os.environ, self.fronts))
         except Exception as error:  # a file under way can hold anything: no fault of it ends a front
             self.figures.reconfig_failed += 1
             log.error("reload_failed", why=str(error) or type(error).__name__)
@@ -261,6 +282,7 @@
         fault."""
         steps = {
             "discovery": self.discovery.stop,
+            "fleet": self.fleet.stop if self.fleet else lambda: None,
             "probes": self.probes.stop if self.probes else lambda: None,
             "boxes": self.boxes.close,
             "holds": self.handed.stop,
@@ -273,9 +295,9 @@
                 act()
 
 
-async def run(config: Config) -> Status:
+async def run(config: Config, fronts: Path = FRONTS) -> Status:
     """The whole life. A fault at the start is a ``BadConfig``; a later one is told and ends in status 1."""
-    daemon = Daemon(config)
+    daemon = Daemon(config, fronts)
     try:
         await daemon.start()
     except BadConfig:
@@ -290,15 +312,21 @@
     return daemon.life.status
 
 
-def main() -> int:
+def main(words: Sequence[str] = ()) -> int:
+    """``--fronts FILE``: another fronts file than the one under ``deploy/``."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
     set_up_log()
     try:
-        return asyncio.run(run(read_config(os.environ))).value
+        fronts = FRONTS
+        if words:
+            if len(words) != 2 or words[0] != "--fronts":
+                raise BadConfig(f"arguments: want none or --fronts FILE, found {' '.join(words)}")
+            fronts = Path(words[1])
+        return asyncio.run(run(read_config(os.environ, fronts), fronts)).value
     except BadConfig as error:
         print(f"cleatyoke: {error}", file=sys.stderr)
         return Status.START.value
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -22,6 +22,7 @@
 LEAST_BODIES = 4 * 1024 * 1024
 SPARE_SOCKETS = 56  # listeners, log, discovery twice, files read, connections whose end is still on its way
 MOST_SESSIONS = 32
+FLEET_TIMES = {"period": 0.5, "answer": 0.15, "gossip": 0.1, "sync": 10.0, "departed": 1.0, "join": 1.0}
 FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
 
 
@@ -71,6 +72,18 @@
     addresses: list[str]
 
 
+@dataclass(slots=True, frozen=True)
+class FleetPeers:
+    """Talk among the fronts of one deployment (``docs/fleet-view.md``)."""
+
+    deployment: str
+    listen: Address  # datagrams and streams alike
+    advertise: Address  # where the others reach it
+    seeds: list[Address]
+    boot: int  # boot number of this life; 0: by the wall clock
+    timing: dict[str, float]  # seconds, by their names in ``fleet.members.Timing``
+
+
 @dataclass(slots=True, frozen=True)
 class Shares:
     """How the descriptors of the process are dealt out. A request in work holds a client's connection and at
@@ -118,6 +131,7 @@
     file_discovery: Address  # as the file has it, whatever RELAY_DISCOVERY says
     sftp: SftpFront | None = None
     vrrp: VrrpPeers | None = None
+    fleet: FleetPeers | None = None
     metrics: Address | None = None  # where the figures are told to Prometheus
     accept_fd: int | None = None  # a listening socket handed down by the platform, in place of ``listen``
     ops: Address | None = None  # the operators' control address
@@ -137,7 +151,7 @@
         if lost := missing(self.keys, new.keys):
             raise BadConfig(f"{lost}: missing, and the file had it before")
         kept = ("name", "listen", "accept_fd", "ops", "state_dir", "shares", "dial_timeout", "idle_close",
-                "sftp", "vrrp", "metrics")  # fmt: skip
+                "sftp", "vrrp", "fleet", "metrics")  # fmt: skip
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
         self.keys = new.keys
         retired = self.follow(new)
@@ -350,7 +364,7 @@
     limits = facts.table("PolicyLimits")
     lanes, extra = facts.tables("Lanes"), facts.table("Extra", {})
     classes, plans = names(lanes), names(facts.tables("Contracts"))
-    sftp, vrrp, metrics = read_fronts(fronts, classes, plans)
+    sftp, vrrp, metrics, fleet = read_fronts(fronts, classes, plans)
     sockets = root.table("limits", {}).whole("sockets", 2 * SPARE_SOCKETS, 1 << 20, MOST_SOCKETS)
 
     def address(variable: str, key: str) -> Address:
@@ -379,6 +393,7 @@
         idle_close=limits.number("IdleCloseS", 30.0),
         sftp=sftp,
         vrrp=vrrp,
+        fleet=fleet,
         metrics=metrics,
         accept_fd=read_descriptor(environment.get("RELAY_ACCEPT_FD")),
         ops=address("RELAY_OPS", "ops") if environment.get("RELAY_OPS") or "ops" in values else None,
@@ -403,20 +418,52 @@
 
 def read_fronts(
     path: Path, classes: Mapping[str, int], plans: Mapping[str, int]
-) -> tuple[SftpFront | None, VrrpPeers | None, Address | None]:
+) -> tuple[SftpFront | None, VrrpPeers | None, Address | None, FleetPeers | None]:
     """The fronts file of the deployment; a front whose table is absent or not ``enabled`` is off."""
     try:
         values = tomllib.loads(path.read_text())
     except FileNotFoundError:
-        return None, None, None
+        return None, None, None, None
     except (OSError, ValueError) as error:
         raise BadConfig(f"{path.name}: {error}") from error
     root = Table(values, f"{path.name}: ")
     sftp = read_sftp(root.table("sftp", {}), classes, plans)
     vrrp = read_vrrp(root.table("vrrp", {}))
     metrics = read_metrics(root.table("metrics", {}))
+    fleet = read_fleet(root.table("fleet", {}))
     root.nothing_else()
-    return sftp, vrrp, metrics
+    return sftp, vrrp, metrics, fleet
+
+
+def read_fleet(table: Table) -> FleetPeers | None:
+    if not table.flag("enabled"):
+        return None
+    deployment = table.text("deployment")
+    if not 1 <= len(deployment) <= 64:
+        raise table.fail("deployment", f"want 1 to 64 letters, found {deployment!r}")
+    listen, seeds = table.address("listen"), table.rows("seeds")
+    if not all(isinstance(one, str) for one in seeds):
+        raise table.fail("seeds", "want a list of texts")
+    if not listen.port:
+        raise table.fail("listen", "want a port, as others have to find it again")
+    timing = {}
+    for name, usual in FLEET_TIMES.items():
+        timing[name] = table.positive(f"{name}_s", usual)
+        if not 0.01 <= timing[name] <= 3600:
+            raise table.fail(f"{name}_s", f"want 0.01 to 3600 seconds, found {timing[name]:g}")
+    for name in ("answer", "gossip"):
+        if timing[name] >= timing["period"]:
+            raise table.fail(f"{name}_s", f"want less than period_s, found {timing[name]:g}")
+    fleet = FleetPeers(
+        deployment=deployment,
+        listen=listen,
+        advertise=table.address("advertise") if "advertise" in table.values else listen,
+        seeds=[read_address(seed, f"{table.path}seeds") for seed in seeds],
+        boot=table.whole("boot", 0, (1 << 53) - 1, 0),
+        timing=timing,
+    )
+    table.nothing_else()
+    return fleet
 
 
 def read_metrics(table: Table) -> Address | None:
--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -42,6 +42,7 @@
 ACCUSERS = 3  # independent ones by which a suspicion is as short as it gets
 UNHEALTHY = 8  # most that local health counts
 HEALS = 3  # of the departed that are probed at once where one has returned
+FAREWELL = 8  # members that hear at once of one that leaves
 NOTED = 32  # rumours at the most that are looked at for one datagram
 HEARD_OF = (State.ALIVE, State.SUSPECT)
 
@@ -205,7 +206,7 @@
         dice: random.Random, timing: Timing | None = None, alone: bool = False,
     ) -> None:  # fmt: skip
         self.deployment, self.address, self.alone = deployment, address, alone
-        self.seeds = [seed for seed in seeds if seed != address]
+        self.seeds = list(seeds)
         self.dice, self.timing = dice, timing or Timing()
         self.id = Id(name, boot)
         self.count = 0
@@ -222,7 +223,7 @@
         self.favours: dict[int, Favour] = {}
         self.number = 0
         self.health = 0  # 0: well; more, and this life doubts itself rather than others
-        self.joined = not self.seeds
+        self.joined = False
         self.leaving = self.left = False
         self.figures = Figures()
         self.now = self.due = -math.inf
@@ -274,7 +275,8 @@
         ):  # fmt: skip
             self.next[name] = now + self.dice.random() * every
         self.next["swap"] = self.next["look"] = now  # not before
-        self.next["join"] = now if self.seeds else math.inf
+        self.joined = not self.other_seeds()
+        self.next["join"] = math.inf if self.joined else now
 
     def wake(self, now: float, gap: float) -> None:
         """This process stood still: what it did not hear proves nothing of others, and they may have given it
@@ -332,13 +334,16 @@
     def join(self) -> None:
         """Ask a seed that is in no life's place here. Goes on for ever, if slowly: two groups that formed
         around two seeds, which were down when the other's first member asked, would else never meet."""
-        there = {self.lives[id].rumour.address for id in self.present}
-        strange = [seed for seed in self.seeds if seed not in there]
+        there, seeds = {self.lives[id].rumour.address for id in self.present}, self.other_seeds()
+        strange = [seed for seed in seeds if seed not in there]
         lone = not self.joined or not there
         every = self.timing.join if lone else self.timing.sync
         self.next["join"] = self.now + every * (0.5 + self.dice.random())
-        if strange or (lone and self.seeds):
-            self.exchange(self.dice.choice(strange or self.seeds))
+        if strange or (lone and seeds):
+            self.exchange(self.dice.choice(strange or seeds))
+
+    def other_seeds(self) -> list[str]:
+        return [seed for seed in self.seeds if seed != self.address]
 
     def rise(self, boot: int) -> None:
         """Another life of our name has this boot number or a higher one: ours is an old one that came back.
@@ -349,10 +354,21 @@
         self.actions.append(Told(Change.RENAMED, self.id))
 
     def leave(self) -> None:
-        """Tell it as rumours are told, then be gone."""
+        """Tell several at once, as the process may end directly after; then as rumours are told."""
         self.leaving = True
         self.queue = {self.id: 0}
         self.next["gossip"] = self.now
+        there = self.there()
+        for id in self.dice.sample(there, min(FAREWELL, len(there))):
+            self.send(self.lives[id].rumour.address, Gossip())
+        self.queue = {self.id: 0}
+
+    def move(self, address: str, alone: bool) -> None:
+        """Others reach this life elsewhere from now on."""
+        self.address, self.alone = address, alone
+        self.count += 1
+        self.queue[self.id] = 0
+        self.next["gossip"] = self.now
 
     # Probes
 
@@ -472,7 +488,7 @@
             self.swap(sender.address)
         for rumour in message.rumours:
             self.believe(rumour)
-        if self.count > before:  # it, or one it believes, held us for gone: our word back, which brings us back
+        if self.count > before:  # it, or one it believes, held us for gone: our word brings us back
             self.send(sender.address, Gossip(), sender.id)
         match body:
             case Ping(number, target):
@@ -667,6 +683,6 @@
 
     def digest(self) -> int:
         """The same number wherever the same is believed of every life."""
-        every = [life.rumour for life in self.lives.values()]
+        every = [life.rumour for life in list(self.lives.values())]  # a copy: other threads may ask
         rows = sorted((one.id, int(one.state), one.count) for one in (*every, self.me()))
         return zlib.crc32(repr(rows).encode())
--- /dev/null
+++ b/cleatyoke/net/fleet.py
@@ -0,0 +1,287 @@
+"""The fleet's view on the wire: a datagram socket and a stream listener that drive ``fleet.members``.
+
+Thin: it decides nothing. Imported only where the view is on. A stream holds one message each way, its length
+in four bytes before it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import random
+import time
+from collections import Counter
+from collections.abc import Coroutine
+from typing import Any
+
+import structlog
+
+from cleatyoke.config import Address, BadConfig, FleetPeers, read_address
+from cleatyoke.faults import Beat, Faults
+from cleatyoke.fleet.conclude import Conclusion, Known, conclude
+from cleatyoke.fleet.members import (
+    Answered,
+    Asked,
+    Event,
+    Exchange,
+    Heard,
+    Leave,
+    Members,
+    Reply,
+    Send,
+    Timing,
+    Told,
+)  # fmt: skip
+from cleatyoke.fleet.wire import MOST_STREAM, State
+
+MOST_HEARD = 2000  # datagrams taken in a second; more are dropped, so that a flood costs no request its time
+MOST_STREAMS = 16  # open at once, each way; one more is refused
+PATIENCE = 1.0  # seconds for a whole exchange by stream
+CLAIM = 1.0  # seconds between tries at the stated address, where an older process of this name holds it
+TRIES = 8  # at a port that both sockets can have
+log = structlog.get_logger()
+
+
+def told(address: Address) -> str:
+    return f"{address.host}:{address.port}"
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, view: FleetView) -> None:
+        self.view = view
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.view.heard(data)
+
+    def error_received(self, exc: Exception) -> None:
+        self.view.dropped["unsendable"] += 1  # nobody listens there
+
+
+class FleetView:
+    """One front's part in the view of its fleet."""
+
+    def __init__(self, peers: FleetPeers, name: str, hosts: int, seed: int, faults: Faults) -> None:
+        self.peers, self.hosts, self.faults = peers, hosts, faults
+        self.loop = asyncio.get_running_loop()
+        boot, times = peers.boot or int(time.time() * 1000), peers.timing
+        timing = Timing(
+            period=times["period"], answer=times["answer"], gossip=times["gossip"], sync=times["sync"],
+            departed=times["departed"], join=times["join"],
+        )  # fmt: skip
+        self.members = Members(
+            peers.deployment, name, boot, told(peers.advertise), [told(one) for one in peers.seeds],
+            random.Random(f"{seed}:{name}:{boot}"), timing, alone=True,
+        )  # fmt: skip
+        self.transport: asyncio.DatagramTransport | None = None
+        self.server: asyncio.Server | None = None
+        self.bell: asyncio.TimerHandle | None = None
+        self.claims = Beat(faults, "fleet_claim", CLAIM, self.claim)
+        self.claiming: asyncio.Task[None] | None = None
+        self.streams: set[asyncio.Task[None]] = set()
+        self.waiting: dict[int, asyncio.Future[bytes]] = {}  # token: who waits for our view
+        self.tokens = 0
+        self.dropped: Counter[str] = Counter()  # what was not taken in or sent, by reason
+        self.span, self.taken = 0.0, 0  # second of the loop's clock, datagrams taken in it
+
+    # Sockets
+
+    async def start(self) -> None:
+        """Bind, or where an older process of this name is still there, use another port meanwhile."""
+        listen = self.peers.listen
+        try:
+            self.transport, self.server = await self.bind(listen.port)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            self.transport, self.server = await self.bind(0)
+            port = self.transport.get_extra_info("sockname")[1]
+            self.members.address, self.members.alone = told(Address(listen.host, port)), False
+            log.info("fleet_beside_another", address=self.members.address)
+            self.claims.start()
+        self.step()
+
+    async def bind(self, port: int) -> tuple[asyncio.DatagramTransport, asyncio.Server]:
+        """One port for both. Raises ``OSError``."""
+        host = self.peers.listen.host
+        for _ in range(TRIES):
+            transport, _ = await self.loop.create_datagram_endpoint(
+                lambda: Datagrams(self), local_addr=(host, port)
+            )
+            try:
+                chosen = transport.get_extra_info("sockname")[1]
+                return transport, await asyncio.start_server(self.accept, host, chosen, backlog=64)
+            except OSError as error:
+                transport.close()
+                if port or error.errno != errno.EADDRINUSE:
+                    raise
+        raise OSError(errno.EADDRINUSE, "no port free for datagrams and streams")
+
+    def claim(self) -> None:
+        if self.claiming is None or self.claiming.done():
+            self.claiming = asyncio.create_task(self.try_claim())
+
+    async def try_claim(self) -> None:
+        try:
+            transport, server = await self.bind(self.peers.listen.port)
+        except OSError:
+            return  # it is still there
+        self.claims.stop()
+        self.close_sockets()
+        self.transport, self.server = transport, server
+        self.members.move(told(self.peers.advertise), alone=True)
+        log.info("fleet_alone", address=self.members.address)
+        self.step()
+
+    def close_sockets(self) -> None:
+        if self.transport:
+            self.transport.close()
+        if self.server:
+            self.server.close()
+
+    def stop(self) -> None:
+        """Say that this life is over: it uses nothing more from here on."""
+        with self.faults.step("fleet_leave"):
+            self.step(Leave())
+        for bell in (self.bell, self.claims):
+            if bell:
+                bell.stop() if isinstance(bell, Beat) else bell.cancel()
+        for task in (*self.streams, *([self.claiming] if self.claiming else [])):
+            task.cancel()
+        self.close_sockets()
+
+    # Steps
+
+    def heard(self, data: bytes) -> None:
+        now = self.loop.time()
+        if now >= self.span + 1:
+            self.span, self.taken = now, 0
+        self.taken += 1
+        if self.taken > MOST_HEARD:
+            self.dropped["flood"] += 1
+            return
+        self.step(Heard(data))
+
+    def step(self, *events: Event) -> None:
+        try:
+            for action in self.members.step(self.loop.time(), events):
+                self.act(action)
+        except Exception as error:  # guards the timer, which a fault would never set again
+            self.faults.told("fleet_fault", error)
+        if self.bell:
+            self.bell.cancel()
+        if not self.members.left:
+            self.bell = self.loop.call_at(self.members.next_at(), self.step)
+
+    def act(self, action: Send | Exchange | Reply | Told) -> None:
+        match action:
+            case Send(address, data):
+                assert self.transport
+                try:
+                    peer = read_address(address, "peer")
+                    self.transport.sendto(data, (peer.host, peer.port))
+                except (BadConfig, OSError, ValueError):
+                    self.dropped["unsendable"] += 1
+            case Exchange(address, data):
+                self.open_stream(self.exchange(address, data))
+            case Reply(token, data):
+                if (reply := self.waiting.get(token)) and not reply.done():
+                    reply.set_result(data)
+            case Told(change, id, by):
+                log.info("fleet_change", change=change.value, of=id.name, boot=id.boot, by=by)
+
+    # Streams
+
+    def open_stream(self, conversation: Coroutine[Any, Any, None]) -> None:
+        if len(self.streams) >= MOST_STREAMS:
+            self.dropped["streams"] += 1
+            conversation.close()
+            return
+        task = asyncio.create_task(conversation)
+        self.streams.add(task)
+        task.add_done_callback(self.streams.discard)
+
+    async def exchange(self, address: str, data: bytes) -> None:
+        answer: bytes | None = None
+        writer: asyncio.StreamWriter | None = None
+        try:
+            async with asyncio.timeout(PATIENCE):
+                peer = read_address(address, "peer")
+                reader, writer = await asyncio.open_connection(
+                    peer.host, peer.port, local_addr=(self.peers.listen.host, 0)
+                )
+                writer.write(len(data).to_bytes(4, "big") + data)
+                answer = await self.read(reader)
+        except (BadConfig, OSError, EOFError, ValueError, TimeoutError):
+            self.dropped["exchange"] += 1
+        finally:
+            if writer:
+                writer.transport.abort()
+        self.step(Answered(address, answer))
+
+    async def read(self, reader: asyncio.StreamReader) -> bytes:
+        size = int.from_bytes(await reader.readexactly(4), "big")
+        if size > MOST_STREAM:
+            raise ValueError("too long")
+        return await reader.readexactly(size)
+
+    def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self.streams) >= MOST_STREAMS:
+            self.dropped["streams"] += 1
+            writer.transport.abort()
+        else:
+            self.open_stream(self.converse(reader, writer))
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.tokens += 1
+        token = self.tokens
+        try:
+            async with asyncio.timeout(PATIENCE):
+                data = await self.read(reader)
+                reply = self.waiting[token] = self.loop.create_future()
+                self.step(Asked(token, data))
+                if not reply.done():
+                    return  # what cannot be read gets no answer
+                answer = reply.result()
+                writer.write(len(answer).to_bytes(4, "big") + answer)
+                await writer.drain()
+                writer.close()
+                await writer.wait_closed()
+        except (OSError, EOFError, ValueError, TimeoutError):
+            self.dropped["stream"] += 1
+        finally:
+            self.waiting.pop(token, None)
+            with contextlib.suppress(OSError):
+                writer.transport.abort()
+
+    # What is told; called from the operators' thread, so copies first, each in one step of the interpreter
+
+    def conclusion(self) -> Conclusion:
+        members = self.members
+        known = [Known(life.rumour, life.heard) for life in list(members.lives.values())]
+        return conclude(members.me(), known, self.hosts, members.now)
+
+    def lines(self) -> list[str]:
+        members, found = self.members, self.conclusion()
+        me = members.me()
+        place = "alone" if me.alone else "beside"
+        out = [f"fleet.me {me.id.name} {me.id.boot} {me.count} {me.address} {place}",
+               f"fleet.count {found.count}", f"fleet.digest {members.digest():08x}"]  # fmt: skip
+        for life in sorted(members.lives.values(), key=lambda life: life.rumour.id):
+            one = life.rumour
+            sure = ("certainly-up" if one.id in found.certainly_up else
+                    "certainly-stopped" if one.id in found.certainly_stopped else "perhaps-up")  # fmt: skip
+            silent = f"{members.now - life.heard:.1f}" if life.heard > 0 else "never"
+            out.append(f"fleet.life {one.id.name} {one.id.boot} {one.count} {one.address} "
+                       f"{one.state.name.lower()} {sure} heard={silent}")  # fmt: skip
+        return out
+
+    def figures(self) -> list[str]:
+        members, told = self.members, self.members.figures
+        states = Counter(life.rumour.state for life in list(members.lives.values()))
+        facts = {state.name.lower(): states[state] for state in State}
+        facts |= {name: getattr(told, name) for name in told.__dataclass_fields__ if name != "refused"}
+        facts |= {f"refused.{why.replace(' ', '-')}": count for why, count in dict(told.refused).items()}
+        facts |= {f"dropped.{why}": count for why, count in dict(self.dropped).items()}
+        digest = f"fleet.digest={members.digest():08x}"
+        return [*(f"fleet.{name}={value}" for name, value in facts.items()), digest]
--- a/cleatyoke/net/ops.py
+++ b/cleatyoke/net/ops.py
@@ -34,6 +34,7 @@
     enable: Callable[[str], bool]
     drain: Callable[[], None]
     resume: Callable[[], None]
+    fleet: Callable[[], list[str]] | None = None  # the view, where it is on
 
 
 def answer(commands: Commands, line: str) -> list[str]:
@@ -42,6 +43,8 @@
     argument = rest.strip()
     if word == "show-stat" and not argument:
         return [*commands.figures(), "EOT"]
+    if word == "show-fleet" and not argument:
+        return [*commands.fleet(), "EOT"] if commands.fleet else ["FAILURE no view of the fleet is kept"]
     if word in ("disable-server", "enable-server"):
         if not argument or " " in argument:
             return [f"FAILURE {word} wants one server id"]
--- /dev/null
+++ b/tests/test_fleet_processes.py
@@ -0,0 +1,217 @@
+"""The fleet's view on real sockets: what is told of a play, fronts as processes behind fault links, and the
+carrier by itself against what strangers send."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import shutil
+import socket
+import subprocess
+import sys
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from cleatyoke.config import BadConfig, FleetPeers, read_address, read_fronts
+from cleatyoke.emulate.network import Fault, Network
+from cleatyoke.faults import Faults
+from cleatyoke.figures import Figures
+from cleatyoke.fleet import wire
+from cleatyoke.fleet.wire import Gossip, Id, Rumour, State
+from cleatyoke.net.fleet import MOST_HEARD, FleetView
+from cleatyoke.net.ops import Commands, answer
+from cleatyoke.standin.play import Report
+from cleatyoke.standin.search import play_values, pool, rules
+from cleatyoke.standin.views import View, ViewJudge, read_view
+
+ROOT = Path(__file__).resolve().parent.parent
+SCENARIOS = ROOT / "tests" / "scenarios"
+TIMES = {"period": 0.1, "answer": 0.03, "gossip": 0.02, "sync": 1.0, "departed": 0.2, "join": 0.2}
+
+
+class ViewJudgeCase(unittest.TestCase):
+    def told(self, *fronts: int, sure: str = "certainly-up", digest: str = "d", count: int = 2) -> View:
+        first, *others = [(f"n{front}", 1) for front in fronts]
+        return View(first[0], 1, 0, count, digest, dict.fromkeys(others, ("alive", sure)))
+
+    def test_each_rule_of_the_fleet_is_broken_once(self) -> None:
+        for rule, views in (
+            ("", [self.told(0, 1), self.told(1, 0)]), ("view", [self.told(0, 1), None]),
+            ("view", [self.told(0, 1), self.told(1, 0, digest="e")]),
+            ("view", [self.told(0, 1), self.told(1)]),
+            ("count", [self.told(0, 1), self.told(1, 0, count=1)]),
+            ("stopped", [self.told(0, 1), self.told(1, 0, sure="certainly-stopped")]),
+        ):  # fmt: skip
+            judge = ViewJudge(ends=[(1.0, "kill")])
+            judge.seen(2.0, dict(enumerate(views)))
+            with self.subTest(rule):
+                self.assertEqual(rules(judge.broken(9.0)), {rule} - {""})
+        judge = ViewJudge()
+        judge.seen(1.0, {0: View("n0", 5, 2, 1)})
+        judge.seen(2.0, {0: View("n0", 5, 1, 1)})
+        self.assertEqual(rules(judge.broken(9.0)), {"back"})
+        with self.assertRaises(BadConfig):
+            read_view(["fleet.life n0"])
+
+    def test_what_a_message_meets_is_drawn_from_it_and_from_nothing_else(self) -> None:
+        fault = Fault(frozenset("a"), frozenset("b"), loss=0.5, doubles=0.5, garbles=0.2, jitter=1.0)
+        messages = [bytes([number]) * 9 for number in range(200)]
+        one, other = Network(3, faults=[fault]), Network(3, faults=[fault])
+        for number in range(50):
+            other.datagram("b", "a", bytes([number]))  # elsewhere
+        met = [one.datagram("a", "b", data) for data in messages]
+        self.assertEqual(met, [other.datagram("a", "b", data) for data in messages])
+        self.assertEqual({len(came) for came in met}, {0, 1, 2})
+        self.assertNotEqual(met, [one.datagram("a", "b", data) for data in messages])  # a second time
+        self.assertTrue(all(len(one.datagram("b", "a", data)) == 1 for data in messages))
+
+
+class PlayCase(unittest.TestCase):
+    """Twelve processes each."""
+
+    def read(self, name: str) -> dict[str, object]:
+        return tomllib.loads((SCENARIOS / f"{name}.toml").read_text())
+
+    def test_one_view_comes_back_after_kills_pauses_cuts_and_a_roll(self) -> None:
+        names = ("fleet-kills", "fleet-cuts", "fleet-roll")
+        with pool(2) as workers:
+            plays = {name: workers.submit(play_values, name, self.read(name)) for name in names}
+            for name, play in plays.items():
+                report: Report = play.result()
+                with self.subTest(name):
+                    self.assertEqual(report.broken, [], "\n".join(report.lines()))
+                    self.assertEqual([event for event in report.log if event.endswith("_fault")], [])
+                    self.assertGreater(report.log["fleet_change"], 12 * 11)
+
+    def test_wrong_programs_are_caught(self) -> None:
+        """One that takes silence for an end, and one whose lives all have one boot number and never rise."""
+        fleet = {"fronts": 5, "boxes": 2, "seconds": 9.0}
+        base = {"fleet": fleet, "load": {"rate": 10}, "view": {"enabled": True, "settles_s": 4.0}}
+        pause = [{"kind": "pause", "at": 1, "of": [3], "lasts_s": 6.0},
+                 {"kind": "links", "at": 2, "of": [0, 1], "to": [2, 4], "cut": True,
+                  "lasts_s": 6.0}]  # fmt: skip
+        roll = [{"kind": "roll", "at": 1, "of": [3]}]
+        wrong = {
+            "stopped": (pause, [("fleet/conclude.py", "if rumour.state is State.LEFT or anew:",
+                                 "if rumour.state is not State.ALIVE:")]),
+            "view": (roll, [("net/fleet.py", "peers.boot or int(time.time() * 1000)", "1"),
+                            ("fleet/members.py", "self.id, self.count = Id(self.id.name, boot + 1), 0",
+                             "pass")]),
+        }  # fmt: skip
+        with tempfile.TemporaryDirectory() as folder, pool(2) as workers:
+            plays = {}
+            for rule, (troubles, edits) in wrong.items():
+                program = Path(folder) / rule
+                shutil.copytree(ROOT / "cleatyoke", program / "cleatyoke")
+                for part, right, changed in edits:
+                    text = (program / "cleatyoke" / part).read_text()
+                    self.assertEqual(text.count(right), 1, part)
+                    (program / "cleatyoke" / part).write_text(text.replace(right, changed))
+                plays[rule] = workers.submit(play_values, rule, {**base, "trouble": troubles}, program)
+            for rule, play in plays.items():
+                with self.subTest(rule):
+                    self.assertIn(rule, rules(play.result().broken))
+
+
+class CarrierCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+        self.views: list[FleetView] = []
+
+    async def asyncTearDown(self) -> None:
+        for view in self.views:
+            view.stop()
+        await asyncio.sleep(0)
+
+    async def start(self, number: int, boot: int = 1) -> FleetView:
+        listen = read_address(f"127.1.2.{number}:{self.port}", "listen")
+        seeds = [read_address(f"127.1.2.1:{self.port}", "seeds")]
+        peers = FleetPeers("ours", listen, listen, seeds, boot, TIMES)
+        view = FleetView(peers, f"n{number}", 1, number, Faults(Figures()))
+        self.views.append(view)
+        await view.start()
+        return view
+
+    async def until(self, what: str, wanted: object) -> None:
+        """Each view's answer, told by an expression on it."""
+        async with asyncio.timeout(10):
+            while not all(eval(what, {}, {"view": view}) == wanted for view in self.views):
+                await asyncio.sleep(0.02)
+
+    async def test_garbage_foreign_and_replayed_datagrams_by_the_thousand_change_nothing(self) -> None:
+        one, other = await self.start(1), await self.start(2)
+        await self.until("len(view.members.present)", 1)
+        dice = random.Random(1)
+        life = Rumour(Id("n2", 1), other.members.address, State.DEAD, 0)
+        foreign = wire.encode_datagram("theirs", life, Gossip(), [life])[0]
+        own = wire.encode_datagram("ours", other.members.me(), Gossip(), [])[0]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            for number in range(2000):
+                bad = dice.randbytes(dice.randrange(1, 1400))
+                stranger.sendto((bad, foreign, own, own[:-3])[number % 4], ("127.1.2.1", self.port))
+                if number % 50 == 0:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.2)
+            self.assertEqual(list(one.members.lives), [Id("n2", 1)])
+            self.assertIsNot(one.members.lives[Id("n2", 1)].rumour.state, State.DEAD)
+            refused = one.members.figures.refused
+            self.assertGreater(min(refused["foreign"], refused["corrupt"]), 300)
+            stat = dict(line.split("=") for line in one.figures())
+            self.assertEqual(int(stat["fleet.refused.foreign"]), refused["foreign"])
+            for _ in range(3):
+                one.span, one.taken = asyncio.get_running_loop().time(), MOST_HEARD
+                stranger.sendto(own, ("127.1.2.1", self.port))
+                await asyncio.sleep(0.02)
+        self.assertGreater(one.dropped["flood"], 0)
+        reader, writer = await asyncio.open_connection("127.1.2.1", self.port)
+        writer.write(b"\xff\xff\xff\xffgarbage")  # a stream of four gigabytes
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+        self.assertEqual(one.faults.figures.faults, 0)
+
+    async def test_two_processes_of_one_name_are_both_seen_and_the_younger_takes_the_address(self) -> None:
+        old, witness = await self.start(1, boot=1), await self.start(2)
+        new = await self.start(1, boot=2)
+        await self.until("len(view.members.present)", 2)
+        self.assertFalse(new.members.alone)
+        both = {Id("n1", 1), Id("n1", 2)}
+        self.assertLessEqual(both, witness.conclusion().perhaps_up)
+        self.views.remove(old)
+        old.stop()
+        await self.until("view.members.alone", True)
+        await self.until("len(view.members.over)", 1)
+        self.assertEqual(witness.conclusion().certainly_stopped, {Id("n1", 1)})
+        self.assertEqual(witness.members.lives[Id("n1", 2)].rumour.address, f"127.1.2.1:{self.port}")
+        shown = read_view([*witness.lines(), "EOT"])
+        self.assertEqual(shown.lives["n1", 1], ("left", "certainly-stopped"))
+
+
+class SettingsCase(unittest.TestCase):
+    def test_nothing_of_it_is_imported_while_it_is_off_and_the_operators_are_told_so(self) -> None:
+        look = ("import sys, cleatyoke.__main__; sys.exit(any(name.startswith(('cleatyoke.fleet', 'msgspec', "
+                "'cleatyoke.net.fleet', 'cleatyoke.emulate')) for name in sys.modules))")  # fmt: skip
+        self.assertEqual(subprocess.run([sys.executable, "-c", look], cwd=ROOT).returncode, 0)
+        off = Commands(lambda: True, list, bool, bool, lambda: None, lambda: None)
+        self.assertEqual(answer(off, "show-fleet"), ["FAILURE no view of the fleet is kept"])
+
+    def test_each_key_is_checked_and_named(self) -> None:
+        good = {"enabled": "true", "deployment": '"d"', "listen": '"127.0.0.1:7"', "seeds": "[]"}
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "fronts.toml"
+            for key, value in (
+                ("deployment", '""'), ("deployment", "7"), ("listen", '"127.0.0.1:0"'), ("seeds", '["x"]'),
+                ("seeds", "[1]"), ("period_s", "0"), ("period_s", "9999"), ("gossip_s", "0.5"),
+                ("answer_s", "2"), ("boot", "-1"), ("advertise", '"here"'), ("hosts", "3"), ("", ""),
+            ):  # fmt: skip
+                keys = {**good, key: value} if key else good
+                path.write_text("[fleet]\n" + "\n".join(f"{name} = {text}" for name, text in keys.items()))
+                with self.subTest(key=key, value=value):
+                    if not key:
+                        self.assertIsNotNone(read_fronts(path, {}, {})[3])
+                        continue
+                    with self.assertRaisesRegex(BadConfig, f"^fronts.toml: fleet.{key}:"):
+                        read_fronts(path, {}, {})
