Settle what is open when a front leaves, though its clients would wait longer

Now Core.hurry moves the timers of what is open; what was never sent is refused, the rest fails, and nothing is sent for which no answer could come.

--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -58,10 +59,11 @@
 class Call:
     """A request being served: what the policy says of it, and the timer of the attempt that is out."""
 
-    __slots__ = ("attempts", "out", "words")
+    __slots__ = ("attempts", "limit", "out", "words")
 
     def __init__(self) -> None:
         self.words: asyncio.Queue[api.Send | api.Refuse | api.Fail] = asyncio.Queue()
+        self.limit: asyncio.Timeout | None = None  # of its answer
         self.out: asyncio.Timeout | None = None
         self.attempts = 0
 
@@ -77,6 +79,7 @@
         self.events: list[api.Event] = []
         self.bell: asyncio.TimerHandle | None = None
         self.numbered = 0
+        self.last = math.inf  # by when every answer is due, whatever the request's own deadline
         self.listeners: list[Callable[[api.NodeList], None]] = []  # who else hears of the nodes
 
     def now(self) -> float:
@@ -119,16 +122,30 @@
                 case api.Watch():
                     pass  # the platform's discovery is watched from the start
 
+    def hurry(self, last: float) -> None:
+        """The process is to end: everything that is open now is answered by ``last`` (Unix time), as is what
+        comes after. Guards requests whose clients wait longer than the process may take to leave."""
+        self.last = last
+        for call in self.calls.values():
+            for timer, margin in ((call.limit, ANSWER_MARGIN), (call.out, ATTEMPT_MARGIN)):
+                at = last - margin - self.offset
+                if timer and not timer.expired() and (timer.when() or 0.0) > at:
+                    timer.reschedule(at)
+
     async def serve(self, ask: api.Arrival, attempt: Attempt[T]) -> Served[T] | Refused | Failed:
         """The life of a request, from its arrival to its one answer. Cancelled: the client has left."""
         call = self.calls[ask.request] = Call()
         self.tell(ask)
         try:
             # A client that waits for less than the margin still hears the policy's word, which comes at once.
-            limit = max(ask.deadline - ANSWER_MARGIN - self.offset, self.loop.time() + SOONEST)
-            async with asyncio.timeout_at(limit):
+            due = min(ask.deadline, self.last) - ANSWER_MARGIN - self.offset
+            async with asyncio.timeout_at(max(due, self.loop.time() + SOONEST)) as call.limit:
                 while True:
                     match await call.words.get():
+                        case api.Send(_, node) if self.now() >= self.last - ATTEMPT_MARGIN:
+                            self.end(
+                                ask, call.attempts, node, Ending(api.Outcome.NOT_SENT), 0.0, settled=True
+                            )
                         case api.Send(_, node):
                             ending = await self.attempt(ask, call, node, attempt)
                             if ending.outcome is api.Outcome.SERVED:
@@ -141,9 +158,11 @@
             self.tell(api.Withdrawn(ask.request))
             raise
         except TimeoutError:
+            self.tell(api.Withdrawn(ask.request))
+            if self.last < ask.deadline:  # the process ends: what was never sent may be tried elsewhere
+                return Failed() if call.attempts else Refused(0.0)
             # Guards against a silent policy and a loop that ran late: the client is owed an answer in time.
             log.warning("answer_forced", request=ask.request, attempts=call.attempts)
-            self.tell(api.Withdrawn(ask.request))
             return Failed()
         finally:
             del self.calls[ask.request]
@@ -157,16 +176,16 @@
     ) -> Ending[T]:
         """One attempt, until its timer ends it or the policy calls it off by the same timer. Its end is told
         once its connection is free or closed, so that there are never two out."""
-        number, sent, until = call.attempts, self.now(), ask.deadline - ATTEMPT_MARGIN
+        number, sent = call.attempts, self.now()
         call.attempts += 1
         ending, settled = Ending[T](api.Outcome.CANCELLED), True  # a client that leaves takes it along
         try:
-            async with asyncio.timeout_at(until - self.offset) as call.out:
+            async with asyncio.timeout_at(self.until(ask) - self.offset) as call.out:
                 ending = await attempt(node)
             settled = ending.outcome is api.Outcome.SERVED
         except TimeoutError:
             settled = False
-            ending = Ending(api.Outcome.TIMEOUT if self.now() >= until else api.Outcome.CANCELLED)
+            ending = Ending(api.Outcome.TIMEOUT if self.now() >= self.until(ask) else api.Outcome.CANCELLED)
         except Exception:
             log.exception("attempt_fault", node=node)
             ending, settled = Ending(api.Outcome.RESET), False  # in doubt, it may have run
@@ -175,6 +194,10 @@
             self.end(ask, number, node, ending, self.now() - sent, settled)
         return ending
 
+    def until(self, ask: api.Arrival) -> float:
+        """When its attempt ends at the latest."""
+        return min(ask.deadline, self.last) - ATTEMPT_MARGIN
+
     def end(
         self, ask: api.Arrival, number: int, node: int, ending: Ending[T], spent: float, settled: bool
     ) -> None:
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -363,9 +363,10 @@
             self.sweep()
 
     def leave(self, last: float) -> None:
-        """The process is to end: what is taken from now on is answered within so many seconds. Connections
-        are kept while it still serves, as their clients could come back by no other."""
+        """The process is to end: all that is open, and what is taken from now on, is answered within so many
+        seconds. Connections are kept while it still serves, as their clients could come back by no other."""
         self.last_answer = self.core.now() + last
+        self.core.hurry(self.last_answer)
 
     def stop_accepting(self) -> None:
         """No new connections, no idle ones; what was taken is answered, each answer with its close."""
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -15,12 +15,16 @@
 from hypothesis import strategies as st
 
 from cleatyoke import __main__ as daemon
+from cleatyoke import api
 from cleatyoke.config import Address, BadConfig, read_config
+from cleatyoke.core import Core, Ending, Failed, Refused
 from cleatyoke.directory import Directory
 from cleatyoke.faults import Beat, Faults
 from cleatyoke.figures import Figures
 from cleatyoke.lifecycle import Lifecycle, Notice, Order, Stage, Status
 from cleatyoke.net.discovery import Discovery
+from tests.host import class_spec, entry
+from tests.host import settings as host_settings
 from tests.test_upgrade import start
 from tests.wire import FACTS, DiscoveryAgent
 
@@ -91,6 +95,33 @@
                          [Order.CLOSE_FILES, Order.STOP_ACCEPTING, Order.RELEASE])  # fmt: skip
 
 
+class Hurried(unittest.IsolatedAsyncioTestCase):
+    async def test_what_is_open_as_the_process_leaves_is_settled_before_it_has_left(self) -> None:
+        """However long its client would wait: 8 s here, where the process has 0.3 s left."""
+        core = Core(host_settings([class_spec(), class_spec(repeat=api.Repeat.ONCE)]))
+        boxes = [entry(1, 1), entry(2, 2, state=api.NodeState.DRAINING)]
+        core.tell(api.NodeList(api.ListKind.FULL, boxes))
+        sent: list[str] = []
+
+        def ask(name: str, kind: int, cell: int) -> asyncio.Task[object]:
+            async def hang(node: int) -> Ending[None]:
+                sent.append(name)
+                await asyncio.sleep(60)
+                return Ending(api.Outcome.SERVED)
+
+            arrival = api.Arrival(name, kind, 0, 1, None, cell, 1.0, core.now() + 8.0, 1)
+            return asyncio.create_task(core.serve(arrival, hang))
+
+        calls = {"read": ask("read", 0, 1), "write": ask("write", 1, 1), "held": ask("held", 1, 2)}
+        await asyncio.sleep(0.1)
+        self.assertEqual(sent, ["read", "write"])
+        core.hurry(core.now() + 0.3)
+        async with asyncio.timeout(1.0):
+            told = {name: type(await call) for name, call in calls.items()}
+        self.assertEqual(told, {"read": Failed, "write": Failed, "held": Refused})
+        self.assertEqual(sent, ["read", "write"])  # nothing is sent for which no answer could come
+
+
 class Faulty(unittest.IsolatedAsyncioTestCase):
     async def test_a_beat_goes_on_after_a_call_that_raises(self) -> None:
         figures, calls = Figures(), []
