--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -16,7 +16,7 @@
 from cleatyoke.standin.search import play_values, pool, rules, shorten
 
 JOBS = 5
-TROUBLES, SETTINGS = range(1, 6), range(1, 21)
+TROUBLES, SETTINGS = range(1, 6), (*range(1, 21), 123)
 
 
 class DrawCase(unittest.TestCase):
