Share holds by hand among the fronts, and say in the answer how many have one

Off with the view; the answers of the platform's calls are unchanged there. New trouble hold, and the judge holds the fronts named in the answer to it.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -37,6 +37,7 @@
     from cleatyoke.vrrp import Carrier
 
 FIRST_WORD = 1.0  # seconds for discovery's first word where there is no old list to serve by
+HELD_BY = 0.5  # seconds that an operator's call waits at the most for the other fronts to have it
 LOOK = 0.02  # seconds between looks for what is still open while the process leaves
 log = structlog.get_logger()
 
@@ -180,6 +181,7 @@
 
             config = self.config
             view = FleetView(peers, config.name, config.settings.hosts, config.seed, self.faults)
+            view.share(self.handed, config.state_dir)
             await view.start()
         except (ImportError, OSError) as error:
             raise BadConfig(f"fleet: {error}") from error
@@ -212,6 +214,7 @@
             drain=front.drained,
             resume=front.drain.resume,
             fleet=fleet.lines if fleet else None,
+            shared=(lambda box, hold: fleet.held_by(box, hold, HELD_BY)) if fleet else None,
         )
 
     def reload(self) -> None:
--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -20,6 +20,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
 
 from cleatyoke.fleet.wire import (
     Ack,
@@ -205,6 +206,18 @@
     return zlib.crc32(f"{rumour.id.name}:{rumour.id.boot}:{rumour.count}".encode())
 
 
+class Store(Protocol):
+    """What goes along with every exchange of views."""
+
+    def digest(self) -> int: ...
+
+    def dump(self) -> bytes: ...
+
+    def load(self, sender: Id, data: bytes) -> bool: ...
+
+    def lacks(self, life: Id) -> bool: ...
+
+
 class Members:
     """One life's view of the fleet."""
 
@@ -223,6 +236,8 @@
         self.looks: dict[Id, float] = {}  # ... when each of these is pinged once more, by who suspects it ...
         self.departed: dict[Id, None] = {}  # ... those believed dead ...
         self.over: dict[Id, None] = {}  # ... and those that left, the first to leave first
+        self.store: Store | None = None
+        self.push_until = -math.inf  # until when those are sought that lack what was done here
         self.sum = 0  # of the marks of those that are there: the same where the same ones are
         self.news_at = -math.inf  # when something new was heard of anybody
         self.news: list[Id] = []  # of whom this step has brought something new
@@ -265,6 +280,8 @@
         if self.left:
             return math.inf
         idle = {"swap", "look"} if self.queue or self.leaving else {"swap", "look", "gossip"}
+        if self.now >= self.push_until:
+            idle.add("push")
         due = min(at for name, at in self.next.items() if name not in idle)
         for probe in self.probes.values():
             due = min(due, probe.over_at if probe.asked else probe.ask_at)
@@ -283,7 +300,7 @@
             ("departed", timing.departed),
         ):  # fmt: skip
             self.next[name] = now + self.dice.random() * every
-        self.next["swap"] = self.next["look"] = now  # not before
+        self.next["swap"] = self.next["look"] = self.next["push"] = now  # not before
         self.joined = not self.other_seeds()
         self.next["join"] = math.inf if self.joined else now
 
@@ -327,6 +344,8 @@
             self.probe_next()
         if now >= self.next["look"]:
             self.look_again()
+        if now < self.push_until and now >= self.next["push"]:
+            self.push()
         if now >= self.next["departed"]:
             self.next["departed"] = now + timing.departed
             self.probe_departed()
@@ -468,6 +487,7 @@
                     self.figures.bytes_in += len(data)
                     view = decode_view(self.deployment, data)
                     self.merge(view.sender, view.lives, not self.joined)
+                    self.load(view.sender.id, view.copies)
                     answer = self.view()
                     self.actions.append(Reply(token, answer))
                     self.figures.bytes_out += len(answer)
@@ -476,6 +496,7 @@
                     view = decode_view(self.deployment, data)
                     first, self.joined = not self.joined, True
                     self.merge(view.sender, view.lives, first)
+                    self.load(view.sender.id, view.copies)
                 case Leave():
                     self.leave()
         except Refused as refused:
@@ -526,8 +547,39 @@
             self.next["swap"] = self.now + self.timing.departed
             self.exchange(address)
 
+    def load(self, sender: Id, copies: bytes) -> None:
+        """What came along with a view; news are passed on at once, to a few."""
+        if self.store is None or not copies or sender == self.id:
+            return
+        try:
+            news = self.store.load(sender, copies)
+        except ValueError as error:
+            raise Refused(f"copies {error}") from error
+        if news:
+            self.news_at = self.now
+            there = self.there()
+            for id in self.dice.sample(there, min(self.timing.fanout, len(there))):
+                if self.store.lacks(id):
+                    self.exchange(self.lives[id].rumour.address)
+
+    def done_here(self) -> None:
+        """The copies were changed by a call here: take them to all that are there, some at a time."""
+        self.push_until, self.news_at = self.now + self.timing.sync, self.now
+        self.next["push"] = self.now
+
+    def push(self) -> None:
+        assert self.store
+        lacking = [id for id in self.present if self.store.lacks(id)]
+        if not lacking:
+            self.push_until = -math.inf
+            return
+        self.next["push"] = self.now + self.timing.answer
+        for id in self.dice.sample(lacking, min(FAREWELL, len(lacking))):
+            self.exchange(self.lives[id].rumour.address)
+
     def there_sum(self) -> int:
-        return self.sum ^ mark_of(self.me())
+        copies = self.store.digest() if self.store else 0
+        return self.sum ^ mark_of(self.me()) ^ copies
 
     def compare(self, there: int, address: str) -> None:
         """Where the other has others there than we, though nothing new has come for a while, rumours have
@@ -705,7 +757,8 @@
         self.actions.append(Exchange(address, data))
 
     def view(self) -> bytes:
-        return encode_view(self.deployment, self.me(), [life.rumour for life in self.lives.values()])
+        copies = self.store.dump() if self.store else b""
+        return encode_view(self.deployment, self.me(), [life.rumour for life in self.lives.values()], copies)
 
     def digest(self) -> int:
         """The same number wherever the same is believed of every life."""
--- /dev/null
+++ b/cleatyoke/fleet/sharing.py
@@ -0,0 +1,73 @@
+"""The copies that one front keeps and shares: what its operators do here, what comes from others, who has it.
+
+No input, output or clock. ``members`` carries a dump along with every exchange of views, and exchanges where
+the digests of two fronts differ."""
+
+from __future__ import annotations
+
+import contextlib
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from cleatyoke.fleet.replicas import MOST_ACTORS, Holds, decode, merge
+from cleatyoke.fleet.wire import Id
+
+
+@dataclass(slots=True)
+class Sharing:
+    """``changed`` hears of boxes that others hold from now on, and of those that they have released."""
+
+    me: Callable[[], Id]
+    changed: Callable[[frozenset[str], frozenset[str]], None] = lambda held, released: None
+    holds: Holds = field(default_factory=Holds)
+    told: dict[Id, Holds] = field(default_factory=dict)  # what each life had when it was last heard
+    merged: int = 0  # copies that differed, and were settled by the rule
+
+    def hold(self, box: str) -> None:
+        self.holds = self.holds.hold(self.me(), box)
+
+    def release(self, box: str) -> None:
+        self.holds = self.holds.release(box)
+
+    def digest(self) -> int:
+        """The same where the same is held by the same dots, and as much is known to be released."""
+        clock = sorted((life.name, life.boot, number) for life, number in self.holds.clock.items())
+        held = sorted((box, sorted((life.name, life.boot, number) for life, number in dots))
+                      for box, dots in self.holds.held.items())  # fmt: skip
+        return zlib.crc32(repr((clock, held)).encode())
+
+    def dump(self) -> bytes:
+        return msgspec.msgpack.encode(self.holds)
+
+    def load(self, sender: Id, data: bytes) -> bool:
+        """Merge a dump; whether anything here is new by it. Raises ``ValueError``, and takes nothing of one
+        that cannot be."""
+        copy = decode("holds", data)
+        if len(self.told) >= MOST_ACTORS and sender not in self.told:
+            del self.told[next(iter(self.told))]
+        self.told[sender] = copy
+        before = self.holds
+        self.holds = merge("holds", before, copy)
+        if self.holds == before:
+            return False
+        self.merged += 1
+        had, has = before.boxes(), self.holds.boxes()
+        if had != has:
+            self.changed(has - had, had - has)
+        return True
+
+    def restore(self, data: bytes, held: frozenset[str]) -> None:
+        """At a start: the copy that the life before kept, so that a release that it missed still counts, and
+        what is held by hand beside it. Where the copy cannot be read, all that is held is held anew."""
+        with contextlib.suppress(ValueError):
+            self.holds = merge("holds", self.holds, decode("holds", data))
+        for box in held - self.holds.boxes():
+            self.hold(box)
+
+    def lacks(self, life: Id) -> bool:
+        """Whether this life is not known to have all that is known here."""
+        copy = self.told.get(life)
+        return copy is None or not copy.has(self.holds) or copy.boxes() != self.holds.boxes()
--- a/cleatyoke/fleet/wire.py
+++ b/cleatyoke/fleet/wire.py
@@ -18,6 +18,7 @@
 MOST_DATAGRAM = 1200  # bytes
 MOST_STREAM = 1 << 20  # bytes of a whole view: some ten thousand lives
 SUM = 4  # bytes of the checksum at the end
+MOST_COPIES = 1 << 18  # bytes of what goes along with a view
 MOST_LIVES = 10_000  # entries of a whole view
 
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
@@ -100,6 +101,7 @@
     version: Count
     sender: Rumour
     lives: Annotated[list[Rumour], msgspec.Meta(max_length=MOST_LIVES)]
+    copies: Annotated[bytes, msgspec.Meta(max_length=MOST_COPIES)] = b""
 
 
 class Refused(ValueError):
@@ -147,8 +149,8 @@
     return message
 
 
-def encode_view(deployment: str, sender: Rumour, lives: list[Rumour]) -> bytes:
-    return sealed(encoder.encode(View(deployment, VERSION, sender, lives[:MOST_LIVES])))
+def encode_view(deployment: str, sender: Rumour, lives: list[Rumour], copies: bytes = b"") -> bytes:
+    return sealed(encoder.encode(View(deployment, VERSION, sender, lives[:MOST_LIVES], copies)))
 
 
 def decode_view(deployment: str, data: bytes) -> View:
--- a/cleatyoke/net/fleet.py
+++ b/cleatyoke/net/fleet.py
@@ -13,6 +13,7 @@
 import time
 from collections import Counter
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any
 
 import structlog
@@ -33,12 +34,15 @@
     Timing,
     Told,
 )  # fmt: skip
+from cleatyoke.fleet.sharing import Sharing
 from cleatyoke.fleet.wire import MOST_STREAM, State
+from cleatyoke.net.handover import HoldFile
 
 MOST_HEARD = 2000  # datagrams taken in a second; more are dropped, so that a flood costs no request its time
 MOST_STREAMS = 16  # open at once, each way; one more is refused
 PATIENCE = 1.0  # seconds for a whole exchange by stream
 CLAIM = 1.0  # seconds between tries at the stated address, where an older process of this name holds it
+COPIES = "cleatyoke-fleet-copies"  # file in $TMPDIR
 TRIES = 8  # at a port that both sockets can have
 log = structlog.get_logger()
 
@@ -73,6 +77,7 @@
             peers.deployment, name, boot, told(peers.advertise), [told(one) for one in peers.seeds],
             random.Random(f"{seed}:{name}:{boot}"), timing, alone=True,
         )  # fmt: skip
+        self.copies = self.members.store = Sharing(lambda: self.members.id)
         self.transport: asyncio.DatagramTransport | None = None
         self.server: asyncio.Server | None = None
         self.bell: asyncio.TimerHandle | None = None
@@ -150,6 +155,52 @@
             task.cancel()
         self.close_sockets()
 
+    # Holds
+
+    def share(self, file: HoldFile, folder: Path) -> None:
+        """Keep the holds by hand in step with the other fronts'. What is known of them stands in a file too,
+        so that a release that this front misses while it is down still counts for it."""
+        kept = folder / COPIES
+        data = b""
+        with contextlib.suppress(OSError):
+            data = kept.read_bytes()
+        file.look()  # what an earlier life held
+        self.copies.restore(data, frozenset(file.directory.holds.held))
+
+        def keep() -> None:
+            with self.faults.step("fleet_copies"):
+                spare = kept.with_suffix(".new")
+                spare.write_bytes(self.copies.dump())
+                spare.replace(kept)
+
+        def changed(held: frozenset[str], released: frozenset[str]) -> None:
+            log.info("fleet_holds", held=sorted(held), released=sorted(released))
+            keep()
+            file.heard(held, released)
+
+        def called(box: str, hold: bool) -> None:
+            (self.copies.hold if hold else self.copies.release)(box)
+            keep()
+            self.members.done_here()
+            self.step()
+
+        self.copies.changed, file.shared = changed, called
+        if absent := self.copies.holds.boxes() - frozenset(file.directory.holds.held):
+            file.heard(absent, frozenset())
+
+    def held_by(self, box: str, hold: bool, within: float) -> tuple[int, int]:
+        """From the operators' thread: how many fronts have a call made here, of how many that may be up;
+        waits for them so many seconds at the most."""
+        until = time.monotonic() + within
+        while True:
+            members = self.members
+            there = list(members.present)
+            done = (box in self.copies.holds.boxes()) == hold
+            having = sum(not self.copies.lacks(id) for id in there) if done else -1
+            if (having == len(there) and done) or time.monotonic() >= until:
+                return having + 1, max(self.conclusion().count, len(there) + 1)
+            time.sleep(0.01)
+
     # Steps
 
     def heard(self, data: bytes) -> None:
@@ -283,5 +334,6 @@
         facts |= {name: getattr(told, name) for name in told.__dataclass_fields__ if name != "refused"}
         facts |= {f"refused.{why.replace(' ', '-')}": count for why, count in dict(told.refused).items()}
         facts |= {f"dropped.{why}": count for why, count in dict(self.dropped).items()}
+        facts |= {"holds": len(self.copies.holds.held), "copies_merged": self.copies.merged}
         digest = f"fleet.digest={members.digest():08x}"
         return [*(f"fleet.{name}={value}" for name, value in facts.items()), digest]
--- a/cleatyoke/net/handover.py
+++ b/cleatyoke/net/handover.py
@@ -34,6 +34,7 @@
         self.directory, self.core, self.loop = directory, core, core.loop
         self.mutex = threading.Lock()
         self.seen: tuple[int, int] | None = None
+        self.shared: Callable[[str, bool], None] | None = None  # hears of calls here
         self.beat = Beat(faults, "holds", LOOK, self.look)
 
     def start(self) -> None:
@@ -85,8 +86,24 @@
                 log.warning("holds_not_kept", why=str(error))
                 changed, done = [], self.act(name, disable)
         self.loop.call_soon_threadsafe(self.tell, [*changed, name])
+        if done and self.shared:
+            self.loop.call_soon_threadsafe(self.shared, name, disable)
         return done
 
+    def heard(self, held: frozenset[str], released: frozenset[str]) -> None:
+        """On the loop: other fronts hold these boxes from now on, and have released those."""
+        with self.mutex:
+            now = self.core.now()
+            for name in held:
+                self.directory.holds.disable(name, known=True)
+            for name in released:
+                self.directory.holds.enable(name, True, now)
+            try:
+                self.write()
+            except OSError as error:
+                log.warning("holds_not_kept", why=str(error))
+        self.tell([*held, *released])
+
     def act(self, name: str, disable: bool) -> bool:
         holds, known = self.directory.holds, self.directory.knows(name)
         return holds.disable(name, known) if disable else holds.enable(name, known, self.core.now())
--- a/cleatyoke/net/ops.py
+++ b/cleatyoke/net/ops.py
@@ -35,6 +35,7 @@
     drain: Callable[[], None]
     resume: Callable[[], None]
     fleet: Callable[[], list[str]] | None = None  # the view, where it is on
+    shared: Callable[[str, bool], tuple[int, int]] | None = None  # fronts that have it
 
 
 def answer(commands: Commands, line: str) -> list[str]:
@@ -49,7 +50,12 @@
         if not argument or " " in argument:
             return [f"FAILURE {word} wants one server id"]
         done = (commands.disable if word == "disable-server" else commands.enable)(argument)
-        return ["SUCCESS" if done else f"FAILURE no server {argument}"]
+        if not done:
+            return [f"FAILURE no server {argument}"]
+        if commands.shared:
+            having, fronts = commands.shared(argument, word == "disable-server")
+            return [f"SUCCESS at {having} of {fronts} fronts"]
+        return ["SUCCESS"]
     if argument:
         return [f"FAILURE {word} takes nothing more"]
     if word == "ready":
--- a/cleatyoke/standin/play.py
+++ b/cleatyoke/standin/play.py
@@ -25,7 +25,14 @@
 from cleatyoke.standin.model import BoxModel
 from cleatyoke.standin.peer import hold_port
 from cleatyoke.standin.relay import Relay
-from cleatyoke.standin.scenario import BOX_TROUBLES, FRONT_TROUBLES, LINK_TROUBLES, Scenario, Trouble
+from cleatyoke.standin.scenario import (
+    BOX_TROUBLES,
+    CALL_TROUBLES,
+    FRONT_TROUBLES,
+    LINK_TROUBLES,
+    Scenario,
+    Trouble,
+)
 from cleatyoke.standin.views import View, ViewJudge, read_view
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -58,6 +65,7 @@
     fates: Counter[str] = field(default_factory=Counter)  # what became of the requests at the boxes
     broken: list[str] = field(default_factory=list)
     log: Counter[str] = field(default_factory=Counter)  # event: lines, over all fronts
+    held: list[str] = field(default_factory=list)  # what calls to hold and release boxes were told
     views: list[tuple[str, float | None]] = field(default_factory=list)  # trouble; seconds to one view after
 
     def lines(self) -> list[str]:
@@ -72,6 +80,7 @@
             f"log lines: {events}",
             *(f"one view {f'{took:.1f} s' if took is not None else 'never'} after {kind}"
               for kind, took in self.views),
+            *([f"holds: {', '.join(self.held)}"] if self.held else []),
             *(f"BROKEN {one}" for one in self.broken[:20]),
             f"rules {'kept' if not self.broken else f'broken {len(self.broken)} times'}",
         ]
@@ -179,16 +188,21 @@
             self.play.judge.paused(self.number, began, self.play.clock() + WAKES)
 
     async def show_fleet(self) -> View | None:
+        lines = await self.call("show-fleet")
+        return read_view(lines) if lines else None
+
+    async def call(self, line: str) -> list[str]:
+        """An operator's call; no lines where it got no answer."""
         relay = self.play.relay
         assert relay
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(ANSWER):
                 reader, writer = await asyncio.open_connection(relay.host(self.number), self.play.ops_port)
-                writer.write(b"show-fleet\n")
-                return read_view((await reader.read()).decode().splitlines())
+                writer.write(f"{line}\n".encode())
+                return (await reader.read()).decode().splitlines()
         except (OSError, TimeoutError):
-            return None
+            return []
         finally:
             if writer:
                 writer.transport.abort()
@@ -374,6 +388,26 @@
         for fault in faults:
             network.faults.remove(fault)
 
+    async def trouble_hold(self, number: int, trouble: Trouble) -> None:
+        """A box is held by a call at one front, and released by one at the next. The judge holds those fronts
+        to it of which the answer says that they have it: this one, or all."""
+        box = self.boxes[trouble.box].name
+        told = " ".join(await self.fronts[number].call(f"disable-server {box}")).split()
+        at = self.clock()
+        if told[:1] != ["SUCCESS"]:
+            self.judge.faults.append(f"hold: front {number} was asked to hold {box} and said {told}")
+            return
+        everywhere = told[2] == told[4]
+        for front in range(self.scenario.fronts) if everywhere else [number]:
+            self.judge.drains(front, box, at)
+        self.report.held.append(" ".join(told))
+        await asyncio.sleep(trouble.lasts)
+        for front in range(self.scenario.fronts):
+            self.judge.drains(front, box, None)
+        other = self.fronts[(number + 1) % len(self.fronts)]
+        told = " ".join(await other.call(f"enable-server {box}")).split()
+        self.report.held.append(" ".join(told))
+
     async def trouble(self, trouble: Trouble) -> None:
         await asyncio.sleep(trouble.at)
         await self.trouble_all(trouble)
@@ -389,6 +423,8 @@
             act = self.trouble_box
         elif trouble.kind in FRONT_TROUBLES:
             act = self.trouble_front
+        elif trouble.kind in CALL_TROUBLES:
+            act = self.trouble_hold
         step = trouble.over / max(1, len(trouble.of))
 
         async def one(place: int, subject: int) -> None:
--- a/cleatyoke/standin/scenario.py
+++ b/cleatyoke/standin/scenario.py
@@ -13,6 +13,7 @@
 BOX_TROUBLES = ("replace", "drain", "restart", "silence", "stall", "reset", "lose_answers", "spoil", "slow")
 FRONT_TROUBLES = ("roll", "kill", "reload", "pause", "powercut")
 LINK_TROUBLES = ("links",)
+CALL_TROUBLES = ("hold",)
 KILL = 0.7  # seconds more than the longest deadline, from SIGTERM to SIGKILL
 REPORTS = {one: one for one in ("answers", "probe", "none")}
 LIST_TROUBLES = ("late_lists", "garble_lists", "empty_lists", "silent_lists")
@@ -119,6 +120,7 @@
     over: float  # seconds over which it reaches them one by one
     lasts: float  # seconds for each
     share: float  # part of the requests that it meets, or for ``slow`` the part of its power that a box keeps
+    box: int = 0  # of ``hold``: the box that is held
     links: Links | None = None  # of ``links``: what messages from ``of`` meet there
 
 
@@ -204,8 +206,9 @@
         troubles=[read_trouble(table, fronts, boxes, zones) for table in root.tables("trouble", [])],
         view=read_view_terms(view, fronts),
     )
-    if scenario.view is None and any(one.links for one in scenario.troubles):
-        raise root.fail("trouble", "links want a view of the fleet")
+    for one in scenario.troubles if scenario.view is None else []:
+        if one.kind in (*LINK_TROUBLES, *CALL_TROUBLES):
+            raise root.fail("trouble", f"{one.kind} wants a view of the fleet")
     for table in (root, fleet, load, power, terms, view):
         table.nothing_else()
     return scenario
@@ -298,7 +301,8 @@
 
 
 def read_trouble(table: Table, fronts: int, boxes: int, zones: list[str]) -> Trouble:
-    kinds = {kind: kind for kind in (*BOX_TROUBLES, *FRONT_TROUBLES, *LIST_TROUBLES, *LINK_TROUBLES)}
+    every = *BOX_TROUBLES, *FRONT_TROUBLES, *LIST_TROUBLES, *LINK_TROUBLES, *CALL_TROUBLES
+    kinds = {kind: kind for kind in every}
     kind = table.one_of("kind", kinds)
     count = boxes if kind in BOX_TROUBLES else fronts
     chosen = table.rows("of", list(range(count)))
@@ -313,6 +317,7 @@
         over=table.number("over_s", 0.0),
         lasts=table.number("lasts_s", 0.0),
         share=table.number("share", 1.0),
+        box=table.whole("box", 0, boxes - 1, 0) if kind in CALL_TROUBLES else 0,
         links=read_links(table, fronts, chosen) if kind in LINK_TROUBLES else None,
     )
     table.nothing_else()
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -3,14 +3,19 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cleatyoke.fleet import replicas
+from cleatyoke.emulate.fleet import Fleet
+from cleatyoke.fleet import replicas, wire
+from cleatyoke.fleet.members import Asked, Members
 from cleatyoke.fleet.replicas import Highest, Holds, Latest
-from cleatyoke.fleet.wire import Id
+from cleatyoke.fleet.sharing import Sharing
+from cleatyoke.fleet.wire import Id, Rumour, State
 
 LIVES = [Id(name, boot) for name in "abc" for boot in (1, 2)]
 Step = tuple[str, int, int, str]
@@ -109,3 +114,95 @@
 def test_a_copy_that_cannot_be_is_refused_whole(kind: str, value: object, why: str) -> None:
     with pytest.raises(ValueError, match=f"^{why}$"):
         replicas.decode(kind, msgspec.msgpack.encode(value))
+
+
+# Among the members of a fleet, in virtual time
+
+
+class Shared:
+    """A fleet whose lives keep their copies in a place of their front's own."""
+
+    def __init__(self, size: int = 12, keeps: bool = True) -> None:
+        self.copies: dict[str, Sharing] = {}
+
+        def make(deployment: str, name: str, boot: int, address: str, *rest: Any, **more: Any) -> Members:
+            life = Members(deployment, name, boot, address, *rest, **more)
+            life.store = sharing = Sharing(lambda: life.id)
+            if before := self.copies.get(address):
+                sharing.restore(before.dump() if keeps else b"", before.holds.boxes())
+            self.copies[address] = sharing
+            return life
+
+        self.fleet = Fleet(size, 1, make=make)  # type: ignore[arg-type]
+        self.fleet.start_all()
+        self.fleet.run(12.0)
+
+    def call(self, front: int, box: str, hold: bool) -> None:
+        address = self.fleet.address(front)
+        (self.copies[address].hold if hold else self.copies[address].release)(box)
+        self.fleet.running[address].members.done_here()
+        self.fleet.step(address)
+
+    def run(self, seconds: float) -> None:
+        self.fleet.run(self.fleet.now + seconds)
+
+    def held(self) -> set[frozenset[str]]:
+        return {self.copies[address].holds.boxes() for address in self.fleet.running}
+
+
+def test_a_hold_reaches_all_within_a_second_and_its_front_knows_who_has_it() -> None:
+    shared = Shared()
+    shared.call(3, "s-1", True)
+    origin = shared.fleet.running[shared.fleet.address(3)].members
+    assert all(origin.store.lacks(id) for id in origin.present)  # type: ignore[union-attr]
+    shared.run(0.03)
+    shared.fleet.kill(3)  # 30 ms after the call
+    shared.run(1.0)
+    assert shared.held() == {frozenset({"s-1"})}
+    shared.call(4, "s-1", False)
+    shared.run(1.0)
+    assert shared.held() == {frozenset()}
+    other = shared.fleet.running[shared.fleet.address(4)].members
+    lacking = {id.name for id in other.present if other.store.lacks(id)}  # type: ignore[union-attr]
+    assert lacking <= {"front-0003"}  # which nobody knows to be over yet
+
+
+def test_of_two_sides_of_a_cut_the_hold_wins_and_a_plain_release_holds() -> None:
+    shared = Shared()
+    for box in ("s-1", "s-2"):
+        shared.call(0, box, True)
+    shared.run(2.0)
+    shared.fleet.cut([0, 1, 2, 3, 4])
+    shared.run(1.0)
+    shared.call(1, "s-1", True)  # again, on one side
+    shared.call(9, "s-1", False)  # while the other releases what it knows of
+    shared.call(9, "s-2", False)
+    shared.run(20.0)
+    shared.fleet.heal()
+    shared.run(6.0)
+    assert shared.held() == {frozenset({"s-1"})}
+
+
+@pytest.mark.parametrize(("keeps", "held"), [(True, frozenset()), (False, frozenset({"s-1"}))])
+def test_a_release_that_a_front_missed_counts_if_it_kept_its_copy(keeps: bool, held: frozenset[str]) -> None:
+    """Without the copy what it held by hand is held again by all: the safe side."""
+    shared = Shared(keeps=keeps)
+    shared.call(0, "s-1", True)
+    shared.run(2.0)
+    shared.fleet.kill(7)
+    shared.run(20.0)
+    shared.call(2, "s-1", False)
+    shared.run(40.0)
+    shared.fleet.start(7)
+    shared.run(6.0)
+    assert shared.held() == {held}
+
+
+def test_copies_that_cannot_be_are_refused_and_counted_and_the_view_still_counts() -> None:
+    shared = Shared(4)
+    one = shared.fleet.running[shared.fleet.address(0)].members
+    stranger = Rumour(Id("z", 1), "z:1", State.ALIVE, 0)
+    for bad in (b"\xc1", msgspec.msgpack.encode({"held": {"s": [[["a", 1], 9]]}})):
+        one.step(shared.fleet.now, [Asked(1, wire.encode_view("test", stranger, [], bad))])
+    assert one.figures.refused == {"copies unreadable": 1, "copies holds without their numbers": 1}
+    assert stranger.id in one.lives and shared.held() == {frozenset()}
