--- a/cleatyoke/emulate/fleet.py
+++ b/cleatyoke/emulate/fleet.py
@@ -50,6 +50,7 @@
     """What is measured."""
 
     deaths: list[tuple[float, str, Id, bool]] = field(default_factory=list)  # when, by whom, of whom, true
+    suspected: dict[Id, float] = field(default_factory=dict)  # life: when somebody first suspected it
     told: int = 0
 
 
@@ -184,6 +185,8 @@
 
     def told(self, process: Process, told: Told) -> None:
         self.journal.told += 1
+        if told.change in (Change.SUSPECTED, Change.DIED):
+            self.journal.suspected.setdefault(told.id, self.now)
         if told.change is Change.DIED:
             true = all(other.members.id != told.id for other in self.running.values())
             self.journal.deaths.append((self.now, process.members.id.name, told.id, true))
