--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -113,8 +113,9 @@
                         call.words.put_nowait(action)
                 case api.Cancel(request, attempt):
                     call = self.calls.get(request)
-                    if call and call.out and attempt == call.attempts - 1:
-                        call.out.reschedule(self.loop.time())
+                    out = call.out if call and attempt == call.attempts - 1 else None
+                    if out and not out.expired():  # a process that stood still finds both due at once
+                        out.reschedule(self.loop.time())
                 case api.Wake(after, token):
                     if self.bell:
                         self.bell.cancel()
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -17,7 +18,7 @@
 from cleatyoke import __main__ as daemon
 from cleatyoke import api
 from cleatyoke.config import Address, BadConfig, read_config
-from cleatyoke.core import Core, Ending, Failed, Refused
+from cleatyoke.core import Call, Core, Ending, Failed, Refused
 from cleatyoke.directory import Directory
 from cleatyoke.faults import Beat, Faults
 from cleatyoke.figures import Figures
@@ -122,6 +123,21 @@
         self.assertEqual(sent, ["read", "write"])  # nothing is sent for which no answer could come
 
 
+    async def test_an_attempt_called_off_as_its_time_is_up_costs_no_other_call_its_word(self) -> None:
+        """Both are due at once where the process stood still for a while."""
+        core = Core(host_settings())
+        core.calls |= {name: Call() for name in ("late", "other")}
+        said = [api.Cancel("late", 0), api.Fail("other")]
+        with mock.patch.object(core.policy, "step", return_value=said), contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0) as core.calls["late"].out:
+                try:
+                    await asyncio.sleep(1)
+                finally:  # its time is up, and it has not ended yet
+                    core.calls["late"].attempts = 1
+                    core.step()
+        self.assertEqual(core.calls["other"].words.get_nowait(), api.Fail("other"))
+
+
 class Faulty(unittest.IsolatedAsyncioTestCase):
     async def test_a_beat_goes_on_after_a_call_that_raises(self) -> None:
         figures, calls = Figures(), []
