--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -182,6 +182,8 @@
             config = self.config
             view = FleetView(peers, config.name, config.settings.hosts, config.seed, self.faults)
             view.share(self.handed, config.state_dir)
+            if peers.limits:
+                view.lend(self.core)
             await view.start()
         except (ImportError, OSError) as error:
             raise BadConfig(f"fleet: {error}") from error
--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -193,6 +193,15 @@
     part: float
 
 
+@dataclass(slots=True)
+class Lent:
+    """Event: from now on this host's even part of a volume's limit counts so many times, as hosts have lent
+    one another of theirs; the sum over all hosts stays the whole."""
+
+    volume: int
+    part: float
+
+
 @dataclass(slots=True)
 class Retuned:
     """Event: new settings, for requests that come from now on; classes and plans keep their places, new ones
@@ -202,7 +211,7 @@
     retired: frozenset[int] = frozenset()
 
 
-Event = NodeList | Arrival | Ended | Busy | Withdrawn | Woken | Shared | Retuned
+Event = NodeList | Arrival | Ended | Busy | Withdrawn | Woken | Shared | Lent | Retuned
 
 
 @dataclass(slots=True)
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -82,6 +82,7 @@
     seeds: list[Address]
     boot: int  # boot number of this life; 0: by the wall clock
     timing: dict[str, float]  # seconds, by their names in ``fleet.members.Timing``
+    limits: bool = False  # parts of limits are lent among the fronts
 
 
 @dataclass(slots=True, frozen=True)
@@ -461,6 +462,7 @@
         seeds=[read_address(seed, f"{table.path}seeds") for seed in seeds],
         boot=table.whole("boot", 0, (1 << 53) - 1, 0),
         timing=timing,
+        limits=table.flag("limits"),
     )
     table.nothing_else()
     return fleet
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -81,6 +81,8 @@
         self.numbered = 0
         self.last = math.inf  # by when every answer is due, whatever the request's own deadline
         self.listeners: list[Callable[[api.NodeList], None]] = []  # who else hears of the nodes
+        # What the policy has to know before it decides anything now, as leases that have ended meanwhile.
+        self.before: Callable[[float, list[api.Event]], list[api.Event]] = lambda now, events: events
 
     def now(self) -> float:
         """Unix time, by the monotonic clock."""
@@ -102,7 +104,8 @@
     def step(self) -> None:
         events, self.events = self.events, []
         try:
-            actions = self.policy.step(self.now(), events)
+            now = self.now()
+            actions = self.policy.step(now, self.before(now, events))
         except Exception:  # guards the other requests: each is still answered at its own deadline
             log.exception("policy_fault", events=len(events))
             return
--- a/cleatyoke/emulate/baselines.py
+++ b/cleatyoke/emulate/baselines.py
@@ -60,12 +60,12 @@
             self.next["probe"] = now + self.timing.period
             data, _ = encode_datagram(self.deployment, self.me(), Gossip(), [])
             for address in self.everybody:
-                self.post(address, data)
+                self.beat(address, data)
         for id in [id for id in self.present if now >= self.lives[id].heard + MISSED * self.timing.period]:
             old = self.lives[id].rumour
             self.believe(Rumour(id, old.address, State.DEAD, old.count, old.alone))
 
-    def post(self, address: str, data: bytes) -> None:
+    def beat(self, address: str, data: bytes) -> None:
         self.figures.datagrams_out += 1
         self.figures.bytes_out += len(data)
         self.actions.append(Send(address, data))
--- a/cleatyoke/emulate/market.py
+++ b/cleatyoke/emulate/market.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from cleatyoke.emulate.network import Network
-from cleatyoke.fleet.rights import HOME, Came, Grant, Need, Peers, Rights, Terms, Want
-from cleatyoke.fleet.wire import Id
+from cleatyoke.fleet.rights import Came, Need, Peers, Rights, Terms
+from cleatyoke.fleet.wire import HOME, Grant, Id, Want
 
 RESOURCE = "limit:1"
 TICK = 0.05  # seconds between two steps that nothing else brings about
--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -28,12 +28,14 @@
     Body,
     Datagram,
     Gossip,
+    Grant,
     Id,
     Nack,
     Ping,
     Refused,
     Rumour,
     State,
+    Want,
     decode_datagram,
     decode_view,
     encode_datagram,
@@ -145,7 +147,15 @@
     by: str = ""
 
 
-Action = Send | Exchange | Reply | Told
+@dataclass(slots=True, frozen=True)
+class Deliver:
+    """A message that is not for the view: of this life, which sent it under this id."""
+
+    sender: Id
+    body: Want | Grant
+
+
+Action = Send | Exchange | Reply | Told | Deliver
 
 
 @dataclass(slots=True)
@@ -538,6 +548,8 @@
                 self.probes[number].nacks += 1
             case Ack(number):
                 self.acked(number)
+            case Want() | Grant():
+                self.actions.append(Deliver(sender.id, body))
         self.warn(life, sender)
 
     def swap(self, address: str) -> None:
@@ -740,6 +752,13 @@
         self.figures.bytes_out += len(data)
         self.actions.append(Send(address, data))
 
+    def post(self, receiver: Id, body: Want | Grant) -> list[Action]:
+        """Send to a life what is not for the view; nothing where it is not there."""
+        self.actions = []
+        if receiver in self.present and not self.left:
+            self.send(self.lives[receiver].rumour.address, body)
+        return self.actions
+
     def gossip(self) -> None:
         there = self.there()
         for id in self.dice.sample(there, min(self.timing.fanout, len(there))):
--- a/cleatyoke/fleet/rights.py
+++ b/cleatyoke/fleet/rights.py
@@ -21,13 +21,9 @@
 import random
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Annotated
 
-import msgspec
+from cleatyoke.fleet.wire import HOME, Grant, Id, Want
 
-from cleatyoke.fleet.wire import Count, Id, Text
-
-HOME = 1000  # parts in which each front is at home
 KEPT = 250  # of these, what is never lent, and so is a new life's at once
 MOST_RESOURCES = 4096  # that are kept account of; of one more nothing is lent or borrowed
 MOST_ASKED = 16  # messages that ask, in one step
@@ -50,27 +46,6 @@
         return asked + self.lease * (1 - self.drift) - self.slack
 
 
-# Messages
-
-
-class Want(msgspec.Struct, array_like=True, frozen=True, tag="want", forbid_unknown_fields=True):
-    """Lend me so many parts, in place of all that you lent me of this by a lower number. 0: I hold nothing of
-    yours from here on."""
-
-    resource: Text
-    number: Count
-    parts: Annotated[int, msgspec.Meta(ge=0, le=1 << 20)]
-
-
-class Grant(msgspec.Struct, array_like=True, frozen=True, tag="grant", forbid_unknown_fields=True):
-    """The answer to a ``Want`` of this number, fewer or none, maybe. ``spare``: what I could lend yet."""
-
-    resource: Text
-    number: Count
-    parts: Annotated[int, msgspec.Meta(ge=0, le=HOME)]
-    spare: Annotated[int, msgspec.Meta(ge=0, le=HOME)]
-
-
 # Events and actions
 
 
@@ -82,7 +57,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Need:
-    """What this front could use of each resource now, in parts of a home."""
+    """What this front could use of each resource now, in parts of a home. It is at home in these and in no
+    others: who has never had a request for a volume may not be one of its fronts."""
 
     parts: Mapping[str, float]
 
@@ -96,7 +72,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Part:
-    """How much of its home a process may use, where two of one front live: an upgrade."""
+    """How much of all this a process may use, where two of one front live, as in an upgrade. Who uses this
+    scales by it; here, what is under 1 neither lends nor borrows, so that soon all is as it was before."""
 
     part: float
 
@@ -140,6 +117,7 @@
     """One resource."""
 
     need: float = 0.0
+    home: bool = False
     loans: dict[Id, Loan] = field(default_factory=dict)
     debts: dict[Id, Debt] = field(default_factory=dict)
     poor: dict[Id, float] = field(default_factory=dict)  # who had nothing to lend, and until when that counts
@@ -154,6 +132,7 @@
         self.accounts: dict[str, Account] = {}
         self.peers: tuple[Id, ...] = ()
         self.part = 1.0
+        self.homes: frozenset[str] = frozenset()  # what the last need named
         self.number = 0
         self.refused = 0  # messages on more resources than are kept account of
 
@@ -162,7 +141,7 @@
     def usable(self, resource: str, now: float) -> int:
         """Parts that this front may use at this moment, whatever it knew a moment ago."""
         account = self.accounts.get(resource)
-        mine = int((HOME if now >= self.whole_at else KEPT) * self.part)
+        mine = HOME if now >= self.whole_at else KEPT
         if account is None:
             return mine
         owed = sum(loan.owed(now) for loan in account.loans.values())
@@ -170,11 +149,11 @@
 
     def spare(self, account: Account, now: float, borrower: Id) -> int:
         """What can be lent to this one, with what it has: what is not needed here, nor owed to others."""
-        if now < self.whole_at:
+        if now < self.whole_at or not account.home or self.part < 1.0:
             return 0
         owed = sum(loan.owed(now) for other, loan in account.loans.items() if other != borrower)
         own = max(KEPT, math.ceil(account.need * self.terms.ahead))
-        return max(0, int(HOME * self.part) - owed - own)
+        return max(0, HOME - owed - own)
 
     def next_change(self, now: float) -> float:
         """When ``usable`` changes next by time alone."""
@@ -195,16 +174,24 @@
                 case Came(sender, Grant() as grant):
                     self.take(now, sender, grant)
                 case Need(parts):
+                    self.homes = frozenset(parts)
+                    for resource, account in self.accounts.items():
+                        account.need = parts.get(resource, 0.0)
                     for resource, need in parts.items():
-                        if account := self.account(resource):
-                            account.need = need
+                        if mine := self.account(resource):
+                            mine.need, mine.home = need, True
                 case Peers(ids):
                     self.peers = ids
                 case Part(part):
                     self.part = part
         asked = 0
-        for resource, account in self.accounts.items():
+        for resource, account in list(self.accounts.items()):
             self.forget(now, account)
+            if not (resource in self.homes or account.debts or any(
+                loan.leases for loan in account.loans.values()
+            )):  # fmt: skip
+                del self.accounts[resource]  # as if it had never been asked for
+                continue
             if asked < MOST_ASKED:
                 posts = self.settle(now, resource, account)
                 asked += len(posts)
@@ -229,9 +216,9 @@
     # Lending
 
     def lend(self, now: float, borrower: Id, want: Want) -> list[Post]:
-        account = self.account(want.resource)
-        if account is None:
-            return []
+        account = self.accounts.get(want.resource)
+        if account is None or not account.home:
+            return [Post(borrower, Grant(want.resource, want.number, 0, 0))]
         loan = account.loans.setdefault(borrower, Loan())
         if want.number in loan.leases:
             parts = loan.leases[want.number][0]  # it came twice, or its answer is lost: the same loan
@@ -284,7 +271,7 @@
             elif held and not debt.asked and now >= debt.end - terms.lease / 2:
                 out.append(self.ask(now, resource, lender, debt, held))
         under_way = sum(debt.asked[2] for debt in account.debts.values() if debt.asked and not debt.held(now))
-        lack = need - have - under_way
+        lack = need - have - under_way if self.part >= 1.0 else 0
         if lack > terms.swing or (lack > 0 and account.need > have):
             lenders = [id for id in self.peers if id not in account.poor and id not in account.debts]
             if lenders:
--- a/cleatyoke/fleet/wire.py
+++ b/cleatyoke/fleet/wire.py
@@ -17,6 +17,7 @@
 VERSION = 1
 MOST_DATAGRAM = 1200  # bytes
 MOST_STREAM = 1 << 20  # bytes of a whole view: some ten thousand lives
+HOME = 1000  # parts of what all share in which each front is at home
 SUM = 4  # bytes of the checksum at the end
 MOST_COPIES = 1 << 18  # bytes of what goes along with a view
 MOST_LIVES = 10_000  # entries of a whole view
@@ -83,7 +84,25 @@
     """Nothing but the rumours that come with it."""
 
 
-Body = Ping | Ack | Ask | Nack | Gossip
+class Want(msgspec.Struct, array_like=True, frozen=True, tag="want", forbid_unknown_fields=True):
+    """Lend me so many parts, in place of all that you lent me of this by a lower number. 0: I hold nothing of
+    yours from here on."""
+
+    resource: Text
+    number: Count
+    parts: Annotated[int, msgspec.Meta(ge=0, le=1 << 20)]
+
+
+class Grant(msgspec.Struct, array_like=True, frozen=True, tag="grant", forbid_unknown_fields=True):
+    """The answer to a ``Want`` of this number, fewer or none, maybe. ``spare``: what I could lend yet."""
+
+    resource: Text
+    number: Count
+    parts: Annotated[int, msgspec.Meta(ge=0, le=HOME)]
+    spare: Annotated[int, msgspec.Meta(ge=0, le=HOME)]
+
+
+Body = Ping | Ack | Ask | Nack | Gossip | Want | Grant
 
 
 class Datagram(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
--- a/cleatyoke/net/fleet.py
+++ b/cleatyoke/net/fleet.py
@@ -18,12 +18,17 @@
 
 import structlog
 
+from cleatyoke import api
 from cleatyoke.config import Address, BadConfig, FleetPeers, read_address
+from cleatyoke.core import Core
 from cleatyoke.faults import Beat, Faults
 from cleatyoke.fleet.conclude import Conclusion, Known, conclude
+from cleatyoke.fleet.limits import Limits
 from cleatyoke.fleet.members import (
+    Action,
     Answered,
     Asked,
+    Deliver,
     Event,
     Exchange,
     Heard,
@@ -34,6 +39,8 @@
     Timing,
     Told,
 )  # fmt: skip
+from cleatyoke.fleet.rights import Came, Need, Part, Peers, Rights
+from cleatyoke.fleet.rights import Event as RightsEvent
 from cleatyoke.fleet.sharing import Sharing
 from cleatyoke.fleet.wire import MOST_STREAM, State
 from cleatyoke.net.handover import HoldFile
@@ -43,6 +50,7 @@
 PATIENCE = 1.0  # seconds for a whole exchange by stream
 CLAIM = 1.0  # seconds between tries at the stated address, where an older process of this name holds it
 COPIES = "cleatyoke-fleet-copies"  # file in $TMPDIR
+TRADE = 0.05  # seconds between looks at what is needed of limits
 TRIES = 8  # at a port that both sockets can have
 log = structlog.get_logger()
 
@@ -78,6 +86,10 @@
             random.Random(f"{seed}:{name}:{boot}"), timing, alone=True,
         )  # fmt: skip
         self.copies = self.members.store = Sharing(lambda: self.members.id)
+        self.rights = Rights(self.loop.time(), random.Random(f"rights:{seed}:{name}:{boot}"))
+        self.core: Core | None = None
+        self.limits: Limits | None = None
+        self.market = Beat(faults, "fleet_limits", TRADE, self.look_at_needs)
         self.transport: asyncio.DatagramTransport | None = None
         self.server: asyncio.Server | None = None
         self.bell: asyncio.TimerHandle | None = None
@@ -148,7 +160,7 @@
         """Say that this life is over: it uses nothing more from here on."""
         with self.faults.step("fleet_leave"):
             self.step(Leave())
-        for bell in (self.bell, self.claims):
+        for bell in (self.bell, self.claims, self.market):
             if bell:
                 bell.stop() if isinstance(bell, Beat) else bell.cancel()
         for task in (*self.streams, *([self.claiming] if self.claiming else [])):
@@ -201,6 +213,43 @@
                 return having + 1, max(self.conclusion().count, len(there) + 1)
             time.sleep(0.01)
 
+    # Limits
+
+    def lend(self, core: Core) -> None:
+        """Lend parts of limits, and borrow them, from now on."""
+        self.core = core
+        self.limits = Limits(self.rights, lambda: core.policy.settings.plans)
+        self.rights.part = core.policy.settings.limit_share
+        core.before = self.before_step
+        self.market.start()
+
+    def before_step(self, now: float, events: list[api.Event]) -> list[api.Event]:
+        """Directly before the policy decides: leases that have ended meanwhile count no longer."""
+        assert self.limits
+        at = self.loop.time()
+        self.limits.heard(at, events)
+        for event in events:
+            if isinstance(event, api.Shared):
+                self.trade(Part(event.part))
+        return [*self.limits.changes(at), *events]
+
+    def trade(self, *events: RightsEvent) -> None:
+        """One step of the rights."""
+        now = self.loop.time()
+        for post in self.rights.step(now, events):
+            for action in self.members.post(post.receiver, post.message):
+                self.act(action)
+        if self.core and self.limits:
+            for event in self.limits.changes(now):
+                self.core.tell(event)
+
+    def look_at_needs(self) -> None:
+        assert self.limits
+        needs = self.limits.needs(self.loop.time())
+        if needs or self.rights.accounts:
+            alive = [id for id in self.members.present if id not in self.members.doubted]
+            self.trade(Peers(tuple(alive)), Need(needs))
+
     # Steps
 
     def heard(self, data: bytes) -> None:
@@ -224,7 +273,7 @@
         if not self.members.left:
             self.bell = self.loop.call_at(self.members.next_at(), self.step)
 
-    def act(self, action: Send | Exchange | Reply | Told) -> None:
+    def act(self, action: Action) -> None:
         match action:
             case Send(address, data):
                 assert self.transport
@@ -238,6 +287,9 @@
             case Reply(token, data):
                 if (reply := self.waiting.get(token)) and not reply.done():
                     reply.set_result(data)
+            case Deliver(sender, body):
+                if self.limits:
+                    self.trade(Came(sender, body))
             case Told(change, id, by):
                 log.info("fleet_change", change=change.value, of=id.name, boot=id.boot, by=by)
 
@@ -335,5 +387,8 @@
         facts |= {f"refused.{why.replace(' ', '-')}": count for why, count in dict(told.refused).items()}
         facts |= {f"dropped.{why}": count for why, count in dict(self.dropped).items()}
         facts |= {"holds": len(self.copies.holds.held), "copies_merged": self.copies.merged}
+        accounts = list(self.rights.accounts.values())
+        facts["lent"] = sum(len(account.loans) for account in accounts)
+        facts["borrowed"] = sum(len(account.debts) for account in accounts)
         digest = f"fleet.digest={members.digest():08x}"
         return [*(f"fleet.{name}={value}" for name, value in facts.items()), digest]
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -13,7 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
-from cleatyoke.state import Agenda, Node, Request, ShareClock, Store, Volume, forget_before
+from cleatyoke.state import Agenda, Lending, Node, Request, ShareClock, Store, Volume, forget_before
 
 INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds trail a surge
 FIT = 5  # intervals in a slope fit: the design's
@@ -46,6 +46,7 @@
         self.nodes: dict[int, Node] = {}
         self.holder: dict[int, Node] = {}  # cell: the live node that holds it
         self.volumes: dict[int, Volume] = {}
+        self.lending = Lending()
         self.keys: dict[int, list[Request]] = {}  # requests of ordered classes, oldest first
         self.key_rest: dict[int | None, float] = {}
         self.usual: dict[int, float] = {}  # cell: mean units a second that this host had served there
@@ -100,6 +101,8 @@
                     self.busy = part
                 case api.Shared(part):
                     self.share.change(part, now)
+                case api.Lent(volume, part):
+                    self.lending.tell(volume, part, self.volumes, self.share.time(now))
                 case api.Retuned():
                     self.on_retuned(event)
         while self.agenda.next_at() <= now:
@@ -294,8 +297,8 @@
         if event.volume not in self.volumes:
             since = max(0.0, self.share.time(self.now) - IDLE / 2)  # since when none is used
             slack = 0.0 if self.settings.taken_over else plan.limit_slack * SLACK_SHARE
-            allowed = Store(slack / hosts, since)
-            self.volumes[event.volume] = Volume(Store(ceiling, self.now), allowed)
+            allowed, early = Store(slack / hosts, since), self.lending.before(event.volume)
+            self.volumes[event.volume] = Volume(Store(ceiling, self.now), allowed, early)
         volume = self.volumes[event.volume]
         volume.reserve.fill(part, ceiling, self.now)
         request = Request(event, self.settings.classes[event.class_index], hosts, volume, self.now)
@@ -503,8 +506,9 @@
         if not plan.limit or request.sends:
             return self.now
         store, rate, part = request.volume.limit, plan.limit / request.hosts, self.share.part
-        store.fill(rate, plan.limit_burst * part / request.hosts, self.share.time(self.now))
-        return self.now + max(0.0, request.units - store.level) / (rate * part)
+        lent, ceiling = request.volume.lent, plan.limit_burst * part / request.hosts
+        store.fill(rate, ceiling, lent.time(self.share.time(self.now)))
+        return self.now + max(0.0, request.units - store.level) / (rate * part * max(lent.part, 1e-9))
 
     def bears_at(self, node: Node) -> float:
         """Cold nodes: in debt for each send until this host's part of what the node bears has paid it off:
--- a/cleatyoke/standin/clients.py
+++ b/cleatyoke/standin/clients.py
@@ -64,7 +64,10 @@
                 break
             await asyncio.sleep(max(0.0, began + at - self.clock()))
             volume = 0 if self.dice.random() < load.hot else self.dice.randrange(load.volumes)
-            through = (volume // self.scenario.boxes + self.dice.randrange(load.hosts)) % len(self.doors)
+            place = self.dice.randrange(load.hosts)
+            if load.skew and volume == 0 and self.dice.random() < load.skew:
+                place = int(at / load.skew_s) % load.hosts
+            through = (volume // self.scenario.boxes + place) % len(self.doors)
             trace, block = (f"{self.dice.getrandbits(64):016x}" for _ in range(2))
             kind = self.dice.choices(self.scenario.kinds, [one.share for one in self.scenario.kinds])[0]
             units = self.dice.randint(load.units, load.units_most)
--- a/cleatyoke/standin/play.py
+++ b/cleatyoke/standin/play.py
@@ -240,6 +240,7 @@
         return "\n".join([
             "[fleet]", "enabled = true", 'deployment = "standin"', f'listen = "{relay.home(front)}"',
             f'advertise = "{relay.known(front)}"', f"seeds = {[relay.known(one) for one in view.seeds]}",
+            f"limits = {str(view.limits).lower()}",
             *(f"{name}_s = {view.period * share:g}" for name, share in times.items()), "",
         ])  # fmt: skip
 
--- a/cleatyoke/standin/scenario.py
+++ b/cleatyoke/standin/scenario.py
@@ -30,6 +30,8 @@
     units_most: int  # of a request, at the most
     fresh: float  # part of the writes that write new objects, which any box may take
     reread: float  # part of the reads that go to objects written just before, wherever they were put
+    skew: float  # part of the requests for volume 0 that come through one front of it ...
+    skew_s: float  # ... which is another one after so many seconds
     surge_at: float  # from then on, for ``surge_s`` seconds, ``surge`` times the rate
     surge_s: float
     surge: float
@@ -110,6 +112,7 @@
     period: float  # seconds between two probes; the other intervals go with it
     settles: float  # seconds after the last trouble within which there has to be one view
     seeds: list[int]
+    limits: bool  # they lend one another parts of limits
 
 
 @dataclass(slots=True, frozen=True)
@@ -191,6 +194,8 @@
             units_most=load.whole("units_most", units, 64, units),
             fresh=load.number("fresh", 0.0),
             reread=load.number("reread", 0.0),
+            skew=load.number("skew", 0.0),
+            skew_s=load.positive("skew_s", 7.0),
             surge_at=load.number("surge_at", 0.0),
             surge_s=load.number("surge_s", 0.0),
             surge=load.positive("surge", 1.0),
@@ -277,6 +282,7 @@
         period=table.positive("period_s", 0.2),
         settles=table.positive("settles_s", 10.0),
         seeds=numbers(table, "seeds", fronts, list(range(min(3, fronts)))),
+        limits=table.flag("limits"),
     )
 
 
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -82,12 +82,35 @@
 class Volume:
     """This host's part of a volume's reserve and limit."""
 
-    def __init__(self, reserve: Store, limit: Store) -> None:
+    def __init__(self, reserve: Store, limit: Store, part: float = 1.0) -> None:
+        """``part``: see ``Lending``; the time before counts by it too."""
         self.reserve, self.limit = reserve, limit
+        self.lent = ShareClock(part, limit.filled)  # the limit's time, as its store counts it
+        self.lent.told = limit.filled
         self.others: dict[int, tuple[float, float]] = {}  # cell: units a second by other hosts, when told
         self.due: defaultdict[int, float] = defaultdict(float)  # second of arrival: units still due in full
 
 
+class Lending:
+    """How many times this host's part of a volume's limit counts where hosts lend one another; else 1."""
+
+    def __init__(self) -> None:
+        self.parts: dict[int, float] = {}
+
+    def before(self, volume: int) -> float:
+        """For the time before a volume is known here: what was lent away may have been used, and what was
+        borrowed was not ours then."""
+        return min(1.0, self.parts.get(volume, 1.0))
+
+    def tell(self, name: int, part: float, volumes: dict[int, Volume], now: float) -> None:
+        """``now``: as the limits' stores count time."""
+        self.parts[name] = part
+        if part == 1.0:
+            del self.parts[name]
+        if name in volumes:
+            volumes[name].lent.change(part, now)
+
+
 class Agenda:
     """What to look at, and when: requests, nodes, or the list of nodes (None), earliest first."""
 
