Look for fronts that left in order too, as their seeds may be gone when they return

Now they are among the departed that are pinged, one a second in all, unless a successor holds their address.

--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -458,10 +458,14 @@
             probe.ask_at = probe.over_at
 
     def probe_departed(self) -> None:
-        """One of those believed dead: were it a cut that parted us, it heals by this. The rate is one life's,
-        however many are dead."""
-        if self.departed:
-            id = self.dice.choice(list(self.departed))
+        """One of those believed dead: were it a cut that parted us, it heals by this. Or one that left and
+        has no successor at its address: it may be back, and its seeds be gone. The rate is one life's,
+        however many there are."""
+        there = {self.lives[id].rumour.address for id in self.present} if self.over else set()
+        left = [id for id in self.over if self.lives[id].rumour.address not in {*there, self.address}]
+        choices = [choice for choice in (list(self.departed), left) if choice]
+        if choices:
+            id = self.dice.choice(self.dice.choice(choices))
             self.number += 1
             self.send(self.lives[id].rumour.address, Ping(self.number, id, self.there_sum()), id)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -250,6 +250,11 @@
     assert fleet.settle(20.0) is not None
     fleet.start(0)
     assert fleet.settle(20.0) is not None
+    for front in (0, 1, 5):
+        fleet.leave(front)
+    fleet.run(fleet.now + 5.0)
+    fleet.start(5)  # it left in order, and is back where all the seeds have left
+    assert fleet.settle(20.0) is not None
 
 
 @pytest.mark.parametrize(("make", "caught"), [(Members, False), (ForgetsBoot, True)])
