--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -208,7 +208,7 @@
     fleet.check_counts()
     assert members(fleet, 0).figures.deaths == 0
     fleet.heal()
-    # What was suspected just before the heal may still be told dead, and be taken back: 0.1 to 3.4 s, 8 seeds.
+    # What was suspected just before may still be told dead, and be taken back: 0.1 to 3.4 s over 8 seeds.
     assert fleet.settle(2 * HEAL) is not None and not fleet.broken
 
 
