Lend parts of what a cold box bears, and excuse what a killed front took to its end

Need: a cold box bears a stated number of units from all fronts together, and each front keeps to an even part of them whatever comes through it. With 12 fronts and four in five requests for a cold box through one of them, that part is idle at eleven. fleet/cold.py meters what is asked for at each cold box, the rights that lend limits lend these parts too, and the policy hears by LentNode; off as shipped (cold in [fleet]). Fronts that know of different starts lend one another nothing.

A play said 'lost' of a front that was killed: its requests were excused a moment before SIGKILL, and what a client sent in between on a kept connection was not.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -182,8 +182,9 @@
             config = self.config
             view = FleetView(peers, config.name, config.settings.hosts, config.seed, self.faults)
             view.share(self.handed, config.state_dir)
-            if peers.limits:
-                view.lend(self.core)
+            if peers.limits or peers.cold:
+                boxes = self.directory.boxes
+                view.lend(self.core, lambda node: boxes[node].name if node in boxes else None)
             await view.start()
         except (ImportError, OSError) as error:
             raise BadConfig(f"fleet: {error}") from error
--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -202,6 +202,15 @@
     part: float
 
 
+@dataclass(slots=True)
+class LentNode:
+    """Event: from now on this host's even part of what a cold node bears counts so many times, as hosts have
+    lent one another of theirs; the sum over all hosts stays the whole."""
+
+    node: int
+    part: float
+
+
 @dataclass(slots=True)
 class Retuned:
     """Event: new settings, for requests that come from now on; classes and plans keep their places, new ones
@@ -211,7 +220,7 @@
     retired: frozenset[int] = frozenset()
 
 
-Event = NodeList | Arrival | Ended | Busy | Withdrawn | Woken | Shared | Lent | Retuned
+Event = NodeList | Arrival | Ended | Busy | Withdrawn | Woken | Shared | Lent | LentNode | Retuned
 
 
 @dataclass(slots=True)
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -83,6 +83,7 @@
     boot: int  # boot number of this life; 0: by the wall clock
     timing: dict[str, float]  # seconds, by their names in ``fleet.members.Timing``
     limits: bool = False  # parts of limits are lent among the fronts
+    cold: bool = False  # parts of what a cold box bears are
 
 
 @dataclass(slots=True, frozen=True)
@@ -463,6 +464,7 @@
         boot=table.whole("boot", 0, (1 << 53) - 1, 0),
         timing=timing,
         limits=table.flag("limits"),
+        cold=table.flag("cold"),
     )
     table.nothing_else()
     return fleet
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -71,9 +71,11 @@
 class Core:
     """Owner of the one policy. Every event of one turn of the loop goes into one step."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: api.Settings, unix: float | None = None) -> None:
+        """``unix``: Unix time at the loop's 0, where it is not the system's, as in virtual time."""
         self.loop = asyncio.get_running_loop()
-        self.offset = time.time() - self.loop.time()  # once: the clock goes on evenly if the system's jumps
+        # Once: the clock goes on evenly if the system's jumps.
+        self.offset = time.time() - self.loop.time() if unix is None else unix
         self.policy = Policy(settings)
         self.calls: dict[str, Call] = {}
         self.events: list[api.Event] = []
--- a/cleatyoke/net/fleet.py
+++ b/cleatyoke/net/fleet.py
@@ -12,7 +12,7 @@
 import random
 import time
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +22,7 @@
 from cleatyoke.config import Address, BadConfig, FleetPeers, read_address
 from cleatyoke.core import Core
 from cleatyoke.faults import Beat, Faults
+from cleatyoke.fleet.cold import ColdShares
 from cleatyoke.fleet.conclude import Conclusion, Known, conclude
 from cleatyoke.fleet.limits import Limits
 from cleatyoke.fleet.members import (
@@ -89,6 +90,7 @@
         self.rights = Rights(self.loop.time(), random.Random(f"rights:{seed}:{name}:{boot}"))
         self.core: Core | None = None
         self.limits: Limits | None = None
+        self.cold: ColdShares | None = None
         self.market = Beat(faults, "fleet_limits", TRADE, self.look_at_needs)
         self.transport: asyncio.DatagramTransport | None = None
         self.server: asyncio.Server | None = None
@@ -213,25 +215,36 @@
                 return having + 1, max(self.conclusion().count, len(there) + 1)
             time.sleep(0.01)
 
-    # Limits
+    # Limits and cold boxes
 
-    def lend(self, core: Core) -> None:
-        """Lend parts of limits, and borrow them, from now on."""
+    def lend(self, core: Core, name: Callable[[int], str | None]) -> None:
+        """Lend parts of limits and of what cold boxes bear, and borrow them, from now on. ``name``: of a
+        node, the id that all fronts know it by."""
         self.core = core
-        self.limits = Limits(self.rights, lambda: core.policy.settings.plans)
+        if self.peers.limits:
+            self.limits = Limits(self.rights, lambda: core.policy.settings.plans)
+        if self.peers.cold:
+            self.cold = ColdShares(self.rights, lambda: core.policy.settings, name)
         self.rights.part = core.policy.settings.limit_share
         core.before = self.before_step
         self.market.start()
 
     def before_step(self, now: float, events: list[api.Event]) -> list[api.Event]:
         """Directly before the policy decides: leases that have ended meanwhile count no longer."""
-        assert self.limits
         at = self.loop.time()
-        self.limits.heard(at, events)
+        if self.limits:
+            self.limits.heard(at, events)
+        if self.cold:
+            self.cold.heard(at, now, events)
         for event in events:
             if isinstance(event, api.Shared):
                 self.trade(Part(event.part))
-        return [*self.limits.changes(at), *events]
+        lists = [event for event in events if isinstance(event, api.NodeList)]  # first, as they name nodes
+        rest = [event for event in events if not isinstance(event, api.NodeList)]
+        return [*lists, *self.changes(at), *rest]
+
+    def changes(self, at: float) -> list[api.Event]:
+        return [event for one in (self.limits, self.cold) if one for event in one.changes(at)]
 
     def trade(self, *events: RightsEvent) -> None:
         """One step of the rights."""
@@ -239,13 +252,13 @@
         for post in self.rights.step(now, events):
             for action in self.members.post(post.receiver, post.message):
                 self.act(action)
-        if self.core and self.limits:
-            for event in self.limits.changes(now):
+        if self.core:
+            for event in self.changes(now):
                 self.core.tell(event)
 
     def look_at_needs(self) -> None:
-        assert self.limits
-        needs = self.limits.needs(self.loop.time())
+        now = self.loop.time()
+        needs = {key: need for one in (self.limits, self.cold) if one for key, need in one.needs(now).items()}
         if needs or self.rights.accounts:
             alive = [id for id in self.members.present if id not in self.members.doubted]
             self.trade(Peers(tuple(alive)), Need(needs))
@@ -291,7 +304,7 @@
                 if (reply := self.waiting.get(token)) and not reply.done():
                     reply.set_result(data)
             case Deliver(sender, body):
-                if self.limits:
+                if self.core:
                     self.trade(Came(sender, body))
             case Told(change, id, by):
                 log.info("fleet_change", change=change.value, of=id.name, boot=id.boot, by=by)
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -13,6 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
+from cleatyoke.fits import GAIN, clamp, fit, short_mean
 from cleatyoke.state import Agenda, Lending, Node, Request, ShareClock, Store, Volume, forget_before
 
 INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds trail a surge
@@ -25,7 +26,6 @@
 OVERDUE = 30.0  # times what an answer should take, by the part of the worth that a late one earns: how long
 # an attempt may be out, or its aim if longer
 LOST = 0.4  # of the aim: the least for which an attempt whose answer seems lost may be out
-GAIN = 0.1  # weight of one answer in a running mean, more where answers are rare
 OTHERS = 1.0  # seconds over which the use of volumes through other hosts is averaged
 SPARE_MOST = 64.0  # times its start that a node's spare rate may reach: all that a volume asks
 ROOM_MOST = 2.0  # times its usual rate that a host may count on at a cold node, however idle the nodes are
@@ -103,6 +103,9 @@
                     self.share.change(part, now)
                 case api.Lent(volume, part):
                     self.lending.tell(volume, part, self.volumes, self.share.time(now))
+                case api.LentNode(name, part) if (node := self.nodes.get(name)):
+                    self.bears_at(node)  # what is paid off until now, by the part before
+                    node.lent = part
                 case api.Retuned():
                     self.on_retuned(event)
         while self.agenda.next_at() <= now:
@@ -523,7 +526,7 @@
         room = 1 / max(self.busy, 1 / ROOM_MOST)
         mean = sum(self.usual.values()) / max(1, len(self.usual))
         usual = self.usual.get(node.cell, mean) * share * safety.tip_multiple * room
-        stated = self.settings.cold_units / safety.tip_after / self.hosts * self.share.part
+        stated = self.settings.cold_units / safety.tip_after / self.hosts * self.share.part * node.lent
         warmth = share / safety.cold_from if safety.cold_from else 1.0
         due = self.due_rate.get(node.cell, 0.0) * share * safety.tip_multiple
         rate = max(usual, stated * warmth, due, 1e-9)
@@ -579,13 +582,6 @@
                     self.touch(follower.cell)
 
 
-def fit(history: list[tuple[float, float]]) -> float | None:
-    """Least-squares slope through the origin of performance steps over bound steps; None unless positive."""
-    steps = [(b[0] - a[0], b[1] - a[1]) for a, b in zip(history, history[1:])]
-    slope = sum(du * dy for du, dy in steps) / max(sum(du * du for du, _ in steps), 1e-12)
-    return slope if slope > 0 else None
-
-
 def arbitrate(bounds: list[float], asks: list[float], performance: list[float],
               slopes: list[float | None], worths: list[float]) -> list[float]:
     """Asks that fit are granted and spare goes by worth; otherwise worth x (1 - performance) is evened."""
@@ -615,11 +611,3 @@
 
 def still_due(request: Request) -> float:
     return min(request.units, request.volume.due.get(int(request.arrived), 0.0))
-
-
-def short_mean(mean: float, value: float) -> float:
-    return mean + (GAIN if value < mean else GAIN / 4) * (value - mean)
-
-
-def clamp(value: float, least: float, most: float) -> float:
-    return max(least, min(most, value))
--- a/cleatyoke/standin/clients.py
+++ b/cleatyoke/standin/clients.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import contextlib
-import random
 from collections import deque
 from collections.abc import Callable
 
 from cleatyoke.api import Repeat
 from cleatyoke.standin.judge import Asked, Form, Judge
-from cleatyoke.standin.scenario import Kind, Scenario
+from cleatyoke.standin.load import Drawn, requests
+from cleatyoke.standin.scenario import Scenario
 
 RECENT = 16  # objects written just before, which reads go to
 CROSSED = 0.1  # seconds after a request in which the end of its connection can have crossed it
@@ -42,13 +42,12 @@
 
 
 class Clients:
-    """The load of a scenario, the same requests in every run: who asks for what is drawn from its seed."""
+    """All clients of a scenario's load."""
 
     def __init__(
         self, scenario: Scenario, judge: Judge, doors: list[Door], clock: Callable[[], float]
     ) -> None:
         self.scenario, self.judge, self.doors, self.clock = scenario, judge, doors, clock
-        self.dice = random.Random(scenario.seed)
         self.cells: dict[str, int] = {}  # box: the shard that it holds
         self.written: deque[tuple[str, int]] = deque(maxlen=RECENT)  # block, and the shard that took it
         self.unsent = 0  # their front took no connection: it was down
@@ -56,35 +55,20 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
-        load, began, at = self.scenario.load, self.clock(), 0.0
-        while True:
-            surge = load.surge_at <= at < load.surge_at + load.surge_s
-            at += self.dice.expovariate(load.rate * (load.surge if surge else 1.0))
-            if at > self.scenario.seconds:
-                break
-            await asyncio.sleep(max(0.0, began + at - self.clock()))
-            volume = 0 if self.dice.random() < load.hot else self.dice.randrange(load.volumes)
-            place = self.dice.randrange(load.hosts)
-            if load.skew and volume == 0 and self.dice.random() < load.skew:
-                place = int(at / load.skew_s) % load.hosts
-            through = (volume // self.scenario.boxes + place) % len(self.doors)
-            trace, block = (f"{self.dice.getrandbits(64):016x}" for _ in range(2))
-            kind = self.dice.choices(self.scenario.kinds, [one.share for one in self.scenario.kinds])[0]
-            units = self.dice.randint(load.units, load.units_most)
-            moves = self.dice.random()
-            task = asyncio.create_task(
-                self.ask(trace, block, volume, self.doors[through], kind, units, moves)
-            )
+        began = self.clock()
+        for drawn in requests(self.scenario):
+            await asyncio.sleep(max(0.0, began + drawn.at - self.clock()))
+            task = asyncio.create_task(self.ask(drawn))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         await asyncio.gather(*self.tasks)
 
-    async def ask(
-        self, trace: str, block: str, volume: int, door: Door, kind: Kind, units: int, moves: float
-    ) -> None:
-        """One request, from its connection to the one answer. ``moves`` draws whether it writes a new object,
-        or reads one written just before."""
-        load, shard = self.scenario.load, volume % self.scenario.boxes
+    async def ask(self, drawn: Drawn) -> None:
+        """One request, from its connection to the one answer."""
+        trace, block, volume, kind, units = drawn.trace, drawn.block, drawn.volume, drawn.kind, drawn.units
+        load, shard, door, moves = (
+            self.scenario.load, volume % self.scenario.boxes, self.doors[drawn.front], drawn.moves
+        )  # fmt: skip
         if kind.write and moves < load.fresh:
             shard = -1
         elif not kind.write and moves < load.reread and self.written:
--- a/cleatyoke/standin/judge.py
+++ b/cleatyoke/standin/judge.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from cleatyoke.api import Repeat, Scope
@@ -161,18 +161,29 @@
             if len(one.attempts) > self.terms.attempts:
                 out.append(f"attempts: {trace} was sent {len(one.attempts)} times")
             out += self.repeats(trace, one, runs)
-        for box, came in self.cold.items():
-            start, total = 0, 0.0
-            for at, units, bears in came:
-                total += units
-                while came[start][0] < at - window:
-                    total -= came[start][1]
-                    start += 1
+        for box in self.cold:
+            for total, bears in self.windows(box, window):
                 if total > bears + self.cold_slack:
                     out.append(f"cold: {box} was sent {total:g} units in {window:g} s and bears {bears:.1f}")
                     break
         return out + self.passed_limits()
 
+    def windows(self, box: str, window: float) -> Iterator[tuple[float, float]]:
+        """For each request that came to a cold box: the units in the window that it ends, and what the box
+        bears in one."""
+        came, start, total = self.cold[box], 0, 0.0
+        for at, units, bears in came:
+            total += units
+            while came[start][0] < at - window:
+                total -= came[start][1]
+                start += 1
+            yield total, bears
+
+    def most_cold(self, window: float) -> float:
+        """The most that came to any cold box in a window, as a part of what it bears."""
+        every = (total / bears for box in self.cold for total, bears in self.windows(box, window))
+        return max(every, default=0.0)
+
     def repeats(self, trace: str, one: Asked, runs: int) -> list[str]:
         """The rule on duplicate effects: once an attempt may have run, a request of a class ``once`` goes
         nowhere, a keyed one to its group alone and within its window, and neither is told that trying again
--- /dev/null
+++ b/cleatyoke/standin/load.py
@@ -0,0 +1,42 @@
+"""The load of a scenario, the same requests in every run and on every clock: who asks for what is drawn from
+its seed. No socket, no clock."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from cleatyoke.standin.scenario import Kind, Scenario
+
+
+@dataclass(slots=True, frozen=True)
+class Drawn:
+    """One request of a client."""
+
+    at: float  # seconds after the load begins
+    trace: str
+    block: str
+    volume: int
+    front: int  # whom it is sent to
+    kind: Kind
+    units: int
+    moves: float  # draws whether it writes a new object, or reads one written just before
+
+
+def requests(scenario: Scenario) -> Iterator[Drawn]:
+    load, dice, at = scenario.load, random.Random(scenario.seed), 0.0
+    while True:
+        surge = load.surge_at <= at < load.surge_at + load.surge_s
+        at += dice.expovariate(load.rate * (load.surge if surge else 1.0))
+        if at > scenario.seconds:
+            return
+        volume = 0 if dice.random() < load.hot else dice.randrange(load.volumes)
+        place = dice.randrange(load.hosts)
+        if load.skew and volume == 0 and dice.random() < load.skew:
+            place = int(at / load.skew_s) % load.hosts
+        front = (volume // scenario.boxes + place) % scenario.fronts
+        trace, block = (f"{dice.getrandbits(64):016x}" for _ in range(2))
+        kind = dice.choices(scenario.kinds, [one.share for one in scenario.kinds])[0]
+        units = dice.randint(load.units, load.units_most)
+        yield Drawn(at, trace, block, volume, front, kind, units, dice.random())
--- a/cleatyoke/standin/play.py
+++ b/cleatyoke/standin/play.py
@@ -16,7 +16,6 @@
 from pathlib import Path
 from typing import Any
 
-from cleatyoke.config import REPEATS
 from cleatyoke.emulate.network import Fault
 from cleatyoke.standin.agent import Agent, Registry
 from cleatyoke.standin.box import Box
@@ -32,6 +31,7 @@
     LINK_TROUBLES,
     Scenario,
     Trouble,
+    settings_of,
 )
 from cleatyoke.standin.views import View, ViewJudge, read_view
 
@@ -44,7 +44,6 @@
 LOOK = 0.2  # seconds between two looks at what all fronts say of their fleet
 DRAIN = 1.5  # seconds for which a box that is replaced is listed as draining
 LIFE_TROUBLES = ("replace", "drain", "restart", "silence", "stall")
-NAMES = {repeat: name for name, repeat in REPEATS.items()}
 SPOILS = {"garble_lists": "garble", "empty_lists": "empty", "silent_lists": "silent"}
 
 
@@ -61,6 +60,7 @@
     executions: int = 0
     most_runs_of_a_write: int = 0
     probes: int = 0
+    most_cold: float = 0.0  # at any cold box in a window, as a part of what it bears
     starts: int = 0
     fates: Counter[str] = field(default_factory=Counter)  # what became of the requests at the boxes
     broken: list[str] = field(default_factory=list)
@@ -76,7 +76,7 @@
             f"{self.scenario}: {self.requests} requests in {self.seconds:g} s, {answers}",
             f"served {self.served:.3f} of those whose front was there; attempts {self.attempts}, "
             f"executions {self.executions}, most of one write {self.most_runs_of_a_write}; "
-            f"front starts {self.starts}",
+            f"front starts {self.starts}; most at a cold box {self.most_cold:.2f} of what it bears",
             "at the boxes: " + " ".join(f"{name}={count}" for name, count in sorted(self.fates.items())),
             f"log lines: {events}",
             *(f"one view {f'{took:.1f} s' if took is not None else 'never'} after {kind}"
@@ -109,7 +109,7 @@
             "discovery": f"127.0.0.1:{play.agents[self.number].port}",
             "seed": f"{scenario.seed * 1000 + self.number:x}",
             "known": known,
-            "settings": play.settings(),
+            "settings": settings_of(scenario),
             **changes,
         }
         if play.relay:
@@ -177,9 +177,9 @@
         self.play.judge.killed(self.number, self.play.clock())
         self.process.kill()
         await self.watching
+        self.play.judge.killed(self.number, self.play.clock())  # and what it took until it was gone
         self.door.forget()
 
-
     async def pause(self, seconds: float) -> None:
         """SIGSTOP, and SIGCONT after so long."""
         assert self.process
@@ -244,41 +244,10 @@
         return "\n".join([
             "[fleet]", "enabled = true", 'deployment = "standin"', f'listen = "{relay.home(front)}"',
             f'advertise = "{relay.known(front)}"', f"seeds = {[relay.known(one) for one in view.seeds]}",
-            f"limits = {str(view.limits).lower()}",
+            f"limits = {str(view.limits).lower()}", f"cold = {str(view.cold).lower()}",
             *(f"{name}_s = {view.period * share:g}" for name, share in times.items()), "",
         ])  # fmt: skip
 
-    def settings(self) -> dict[str, Any]:
-        """The settings that the platform's first message would give."""
-        scenario, power, terms = self.scenario, self.scenario.power, self.scenario.terms
-        mean = (scenario.load.units + scenario.load.units_most) / 2
-        retry = {"RetryAfter": terms.retry_after > 0, "MaxRetryAfterS": terms.retry_after}
-        return {
-            "Areas": scenario.zones,
-            "Contracts": [
-                {"Name": plan.name, "BaseRate": plan.rate, "FloorRate": plan.reserve, "Limit": plan.limit,
-                 "LimitBurst": plan.burst, "CapSlack": plan.slack, "Proportion": plan.weight,
-                 "WorthFactor": plan.worth}
-                for plan in scenario.plans
-            ],
-            "Lanes": [
-                {"Name": kind.name, "AimS": kind.aim, "GiveUpS": kind.deadline, "Worth": kind.worth,
-                 "LateShare": kind.late_share, "Repeat": NAMES[kind.repeat], "DedupScope": kind.scope.value,
-                 "MemorySpanS": kind.memory}
-                for kind in scenario.kinds
-            ],
-            "PolicyLimits": {"Cancel": terms.cancel, "SendCap": terms.attempts, "DialTimeoutS": terms.dial,
-                             "IdleCloseS": terms.idle, "Probes": terms.probes, **retry},
-            "Report": {"How": terms.report, "Fields": ["queue", "util"] if terms.report != "none" else []},
-            "Safety": {"ColdFrom": power.cold_from, "RampTimeS": power.ramp,
-                       "StopSendingWithinS": terms.drain_grace,
-                       "TipMultiple": power.tip_multiple, "TipAfterS": power.tip_after},
-            "Extra": {"ColdUnits": power.units * power.cold_from * power.tip_after * power.tip_multiple,
-                      "Largest": scenario.load.units_most, "MeanUnits": mean, "WithinShare": 0.35,
-                      "ChangesData": [kind.write for kind in scenario.kinds], "Shards": scenario.boxes},
-            "Siblings": scenario.fronts,
-        }  # fmt: skip
-
     # Boxes
 
     async def add_box(self, cell: int, name: str, born: float | None, model_seed: int) -> Box:
@@ -518,6 +487,7 @@
         report.probes = self.judge.probes
         for box in (*self.boxes, *self.retired):
             report.fates.update(box.fates)
+        report.most_cold = self.judge.most_cold(self.scenario.power.tip_after)
         report.broken = self.judge.broken(self.scenario.power.tip_after)
         if self.scenario.view:
             report.views = self.views.took()
--- a/cleatyoke/standin/scenario.py
+++ b/cleatyoke/standin/scenario.py
@@ -14,8 +14,10 @@
 FRONT_TROUBLES = ("roll", "kill", "reload", "pause", "powercut")
 LINK_TROUBLES = ("links",)
 CALL_TROUBLES = ("hold",)
+WITHIN = 0.35  # part of its worth that a unit beyond its reserve earns
 KILL = 0.7  # seconds more than the longest deadline, from SIGTERM to SIGKILL
 REPORTS = {one: one for one in ("answers", "probe", "none")}
+NAMES = {repeat: name for name, repeat in REPEATS.items()}
 LIST_TROUBLES = ("late_lists", "garble_lists", "empty_lists", "silent_lists")
 
 
@@ -35,6 +37,8 @@
     surge_at: float  # from then on, for ``surge_s`` seconds, ``surge`` times the rate
     surge_s: float
     surge: float
+    retries: int  # times that a client asks again where it was turned away or its front was not there ...
+    retry_s: float  # ... after so many seconds, or as it is told
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,6 +117,7 @@
     settles: float  # seconds after the last trouble within which there has to be one view
     seeds: list[int]
     limits: bool  # they lend one another parts of limits
+    cold: bool  # and of what cold boxes bear
 
 
 @dataclass(slots=True, frozen=True)
@@ -167,7 +172,7 @@
     """Check ``values``, as a file holds them, whole; ``docs/standin.md`` has the form key by key."""
     root = Table(values, f"{name}: ")
     fleet, load, power = root.table("fleet"), root.table("load"), root.table("box", {})
-    fronts, boxes = fleet.whole("fronts", 1, 64), fleet.whole("boxes", 1, 256)
+    fronts, boxes = fleet.whole("fronts", 1, 1024), fleet.whole("boxes", 1, 1024)
     zones = [str(zone) for zone in fleet.rows("zones", ["basement", "second-floor"])] or ["basement"]
     deadline, limit = fleet.positive("deadline_s", 1.5), fleet.number("limit", 0.0)
     writes, units = load.number("writes", 0.35), load.whole("units", 1, 64, 2)
@@ -199,6 +204,8 @@
             surge_at=load.number("surge_at", 0.0),
             surge_s=load.number("surge_s", 0.0),
             surge=load.positive("surge", 1.0),
+            retries=load.whole("retries", 0, 99, 0),
+            retry_s=load.positive("retry_s", 0.5),
         ),
         power=BoxPower(
             units=power.positive("units", 60.0),
@@ -283,6 +290,7 @@
         settles=table.positive("settles_s", 10.0),
         seeds=numbers(table, "seeds", fronts, list(range(min(3, fronts)))),
         limits=table.flag("limits"),
+        cold=table.flag("cold"),
     )
 
 
@@ -328,3 +336,35 @@
     )
     table.nothing_else()
     return trouble
+
+
+def settings_of(scenario: Scenario) -> dict[str, Any]:
+    """The settings that the platform's first message would give."""
+    power, terms = scenario.power, scenario.terms
+    mean = (scenario.load.units + scenario.load.units_most) / 2
+    retry = {"RetryAfter": terms.retry_after > 0, "MaxRetryAfterS": terms.retry_after}
+    return {
+        "Areas": scenario.zones,
+        "Contracts": [
+            {"Name": plan.name, "BaseRate": plan.rate, "FloorRate": plan.reserve, "Limit": plan.limit,
+             "LimitBurst": plan.burst, "CapSlack": plan.slack, "Proportion": plan.weight,
+             "WorthFactor": plan.worth}
+            for plan in scenario.plans
+        ],
+        "Lanes": [
+            {"Name": kind.name, "AimS": kind.aim, "GiveUpS": kind.deadline, "Worth": kind.worth,
+             "LateShare": kind.late_share, "Repeat": NAMES[kind.repeat], "DedupScope": kind.scope.value,
+             "MemorySpanS": kind.memory}
+            for kind in scenario.kinds
+        ],
+        "PolicyLimits": {"Cancel": terms.cancel, "SendCap": terms.attempts, "DialTimeoutS": terms.dial,
+                         "IdleCloseS": terms.idle, "Probes": terms.probes, **retry},
+        "Report": {"How": terms.report, "Fields": ["queue", "util"] if terms.report != "none" else []},
+        "Safety": {"ColdFrom": power.cold_from, "RampTimeS": power.ramp,
+                   "StopSendingWithinS": terms.drain_grace,
+                   "TipMultiple": power.tip_multiple, "TipAfterS": power.tip_after},
+        "Extra": {"ColdUnits": power.units * power.cold_from * power.tip_after * power.tip_multiple,
+                  "Largest": scenario.load.units_most, "MeanUnits": mean, "WithinShare": WITHIN,
+                  "ChangesData": [kind.write for kind in scenario.kinds], "Shards": scenario.boxes},
+        "Siblings": scenario.fronts,
+    }  # fmt: skip
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -43,6 +43,7 @@
         self.split = [1] * classes
         self.demand = [0.0] * classes
         self.cold = Store(0.0, 0.0)  # after a start: what this host may send, 0 at most
+        self.lent = 1.0  # times its even part of what the node bears then, by which hosts lend one another
         self.hold_until, self.failures = 0.0, 0  # nothing is sent before; ends without an answer in a row
         self.used, self.wake_at = 0.0, math.inf  # the last send to it, and the next look that is due
         self.done_units = 0.0
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -13,8 +13,9 @@
 import tomllib
 import unittest
 import unittest.mock
+from concurrent.futures import Future
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 from cleatyoke.config import BadConfig, FleetPeers, read_address, read_fronts
 from cleatyoke.emulate.network import Fault, Network
@@ -71,36 +72,48 @@
 
 
 class PlayCase(unittest.TestCase):
-    """Twelve processes each."""
+    """Eight to twelve processes each, three plays at once."""
 
-    def read(self, name: str) -> dict[str, object]:
-        return tomllib.loads((SCENARIOS / f"{name}.toml").read_text())
+    plays: ClassVar[dict[str, Future[Report]]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        values = {
+            name: tomllib.loads((SCENARIOS / f"{name}.toml").read_text())
+            for name in ("fleet-limits", "fleet-cold", "fleet-kills", "fleet-cuts", "fleet-roll")
+        }
+        for name, boxes in (("fleet-limits", ()), ("fleet-cold", ("restart",))):
+            lent = {
+                **values[name], "fleet": {**values[name]["fleet"], "seconds": 14},
+                "trouble": [one for one in values[name]["trouble"] if one["kind"] in boxes],
+            }
+            values |= {f"{name} lent": lent, f"{name} fixed": {**lent, "view": {"enabled": True}}}
+        workers = pool()
+        cls.addClassCleanup(workers.shutdown)
+        cls.plays = {name: workers.submit(play_values, name, one) for name, one in values.items()}
+
+    def kept(self, name: str) -> Report:
+        """What came of this play, in which nothing may have been broken."""
+        report = self.plays[name].result()
+        self.assertEqual(report.broken, [], "\n".join(report.lines()))
+        self.assertEqual(report.faults, [])
+        return report
 
     def test_one_view_comes_back_after_kills_pauses_cuts_and_a_roll(self) -> None:
-        names = ("fleet-kills", "fleet-cuts", "fleet-roll")
-        with pool(2) as workers:
-            plays = {name: workers.submit(play_values, name, self.read(name)) for name in names}
-            for name, play in plays.items():
-                report: Report = play.result()
-                with self.subTest(name):
-                    self.assertEqual(report.broken, [], "\n".join(report.lines()))
-                    self.assertEqual(report.faults, [])
-                    self.assertGreater(report.log["fleet_change"], 12 * 11)
+        for name in ("fleet-kills", "fleet-cuts", "fleet-roll"):
+            with self.subTest(name):
+                self.assertGreater(self.kept(name).log["fleet_change"], 12 * 11)
 
     def test_lent_parts_of_a_limit_stay_within_it_and_go_where_the_need_is(self) -> None:
         """Through every trouble; and without any, against the fixed split."""
-        values = self.read("fleet-limits")
-        even = {**values, "trouble": [], "fleet": {**values["fleet"], "seconds": 14}}  # type: ignore[dict-item]
-        fixed = {**even, "view": {"enabled": True}}
-        with pool(2) as workers:
-            names = {"troubles": values, "lent": even, "fixed": fixed}
-            plays = {name: workers.submit(play_values, name, one) for name, one in names.items()}
-            reports: dict[str, Report] = {name: play.result() for name, play in plays.items()}
-        for name, report in reports.items():
-            with self.subTest(name):
-                self.assertEqual(report.broken, [], "\n".join(report.lines()))
-                self.assertEqual(report.faults, [])
-        self.assertGreater(reports["lent"].served, 1.1 * reports["fixed"].served)
+        self.kept("fleet-limits")
+        lent, fixed = self.kept("fleet-limits lent"), self.kept("fleet-limits fixed")
+        self.assertGreater(lent.served, 1.1 * fixed.served)
+
+    def test_lent_parts_of_cold_boxes_stay_within_what_they_bear_and_go_where_the_need_is(self) -> None:
+        self.assertGreater(self.kept("fleet-cold").most_cold, 0.1)
+        lent, fixed = self.kept("fleet-cold lent"), self.kept("fleet-cold fixed")
+        self.assertGreater(lent.served, 1.15 * fixed.served)
 
     def test_wrong_programs_are_caught(self) -> None:
         """One that takes silence for an end, and one whose lives all have one boot number and never rise."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,7 +3,8 @@
 import pytest
 
 from cleatyoke import api
-from cleatyoke.rules import arbitrate, fit
+from cleatyoke.fits import fit
+from cleatyoke.rules import arbitrate
 from tests.host import Host, class_spec, entry, plan_spec, settings
 
 
