Emulate fleets with boxes and traffic: the real cores in virtual time, judged as on sockets

A loop whose time passes only where everything waits runs the real core, policy, view, rights and directory of every front unchanged; a scenario file, its requests, boxes and judge are the stand-in fleet's. worth.py books what was earned by volume and second against one that sees everything. Clients may ask again ([load] retries).

--- /dev/null
+++ b/cleatyoke/emulate/traffic.py
@@ -0,0 +1,377 @@
+"""A scenario of the stand-in fleet in virtual time: boxes, lists, clients and troubles around the real core
+and policy of each front, by the hundred, with the same judge.
+
+What the sockets do stays out: connections, heads and bodies, a busy processor, signals. A box takes a
+request when its last byte has come, ``LATENCY`` after it was sent. Troubles of processes that are stopped,
+lists that are spoilt and calls to hold are for real processes only. """
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from cleatyoke import api
+from cleatyoke.config import FLEET_TIMES, BadConfig, FleetPeers, read_settings
+from cleatyoke.core import Core, Ending, Failed, Refused, Served
+from cleatyoke.directory import Directory, Instance, Listing
+from cleatyoke.emulate.clock import run
+from cleatyoke.emulate.network import Fault, Network
+from cleatyoke.emulate.view import Ether, VirtualView, address_of
+from cleatyoke.emulate.worth import Wish
+from cleatyoke.faults import Faults
+from cleatyoke.figures import Figures
+from cleatyoke.standin.judge import Asked, Judge
+from cleatyoke.standin.load import Drawn, requests
+from cleatyoke.standin.model import BoxModel, Fate
+from cleatyoke.standin.scenario import Scenario, Trouble, settings_of
+
+UNIX = 1e9  # Unix time at the loop's 0
+LATENCY = 0.001  # seconds to a box, and back
+LISTED = 0.2  # seconds until a change of the boxes is known to the fronts
+DRAIN = 1.5  # seconds for which a box that is replaced is listed as draining
+DOWN = 0.3  # seconds between a front's end and its next start
+Make = Callable[[api.Settings], Core]
+
+
+def core_of(settings: api.Settings) -> Core:
+    return Core(settings, UNIX)
+
+
+@dataclass(slots=True)
+class VirtualBox:
+    name: str
+    cell: int
+    zone: str
+    model: BoxModel
+    state: api.NodeState = api.NodeState.LIVE
+    up: bool = True
+    silent: bool = False
+    fell: bool = False
+
+    def listed(self) -> Instance:
+        started = 0.0 if self.model.born is None else UNIX + self.model.born
+        return Instance(self.name, address_of(0), self.zone, self.cell, self.state, started)
+
+
+@dataclass(slots=True)
+class VirtualFront:
+    """A front over its lives."""
+
+    number: int
+    boot: int = 0
+    core: Core | None = None
+    directory: Directory | None = None
+    view: VirtualView | None = None
+    open: set[asyncio.Task[Any]] = field(default_factory=set)
+
+
+class Emulation:
+    """``tips``: a cold box that is sent more than it bears falls over and stays down (protocol page)."""
+
+    def __init__(self, scenario: Scenario, make: Make = core_of, tips: bool = True) -> None:
+        self.scenario, self.make, self.tips = scenario, make, tips
+        self.loop = asyncio.get_running_loop()
+        self.judge = Judge(scenario.plans, scenario.terms, max(4.0, float(scenario.load.units_most)))
+        self.network = Network(scenario.seed)
+        self.ether = Ether(self.network)
+        self.faults = Faults(Figures())
+        self.boxes: list[VirtualBox] = []
+        self.retired: list[VirtualBox] = []
+        self.lives: list[tuple[int, float, float | None, float]] = []  # of boxes: cell, from, born, to
+        self.fronts = [VirtualFront(number) for number in range(scenario.fronts)]
+        self.version = 0
+        self.wishes: list[Wish] = []
+        self.refused: list[tuple[float, float]] = []  # when, and the wait that was told
+
+    # Boxes and lists
+
+    def begin_box(self, cell: int, name: str, born: float | None) -> VirtualBox:
+        seed = self.scenario.seed + cell
+        box = VirtualBox(name, cell, self.scenario.zone_of(cell), BoxModel(self.scenario.power, born, seed))
+        self.lives.append((cell, self.loop.time(), born, float("inf")))
+        return box
+
+    def end_box(self, box: VirtualBox) -> None:
+        box.up = False
+        place = max(place for place, life in enumerate(self.lives) if life[0] == box.cell)
+        cell, since, born, _ = self.lives[place]
+        self.lives[place] = cell, since, born, self.loop.time()
+
+    def power(self, cell: int, at: float) -> float:
+        """Units a second that the boxes of a cell can do then."""
+        return sum(
+            BoxModel(self.scenario.power, born).rate(at)
+            for one, since, born, until in self.lives if one == cell and since <= at < until
+        )  # fmt: skip
+
+    def tell(self, front: VirtualFront, box: VirtualBox) -> None:
+        if front.core is None or front.directory is None:
+            return
+        self.version += 1
+        serves = box.state is api.NodeState.LIVE
+        self.judge.drains(front.number, box.name, None if serves else self.loop.time())
+        entries = front.directory.apply(Listing(self.version, False, [box.listed()]))
+        front.core.tell(api.NodeList(api.ListKind.CHANGES, entries))
+
+    def publish(self, box: VirtualBox, state: api.NodeState = api.NodeState.LIVE) -> None:
+        box.state = state
+        for front in self.fronts:
+            self.loop.call_later(LISTED, self.tell, front, box)
+
+    # Fronts
+
+    async def start(self, front: VirtualFront) -> None:
+        scenario = self.scenario
+        front.boot += 1
+        settings = read_settings(settings_of(scenario), scenario.seed * 1000 + front.number)
+        settings.quiet_since = UNIX + self.loop.time()
+        front.core, front.directory = self.make(settings), Directory({})
+        if scenario.view:
+            every = scenario.view.period / FLEET_TIMES["period"]
+            peers = FleetPeers(
+                "emulated", address_of(front.number), address_of(front.number),
+                [address_of(one) for one in scenario.view.seeds], front.boot,
+                {name: time * every for name, time in FLEET_TIMES.items()},
+                scenario.view.limits, scenario.view.cold,
+            )  # fmt: skip
+            front.view = VirtualView(
+                self.ether, peers, f"n{front.number}", scenario.fronts, scenario.seed, self.faults
+            )
+            if scenario.view.limits or scenario.view.cold:
+                boxes = front.directory.boxes
+                front.view.lend(front.core, lambda node: boxes[node].name if node in boxes else None)
+            await front.view.start()
+        self.version += 1
+        known = [box.listed() for box in self.boxes]
+        entries = front.directory.apply(Listing(self.version, True, known))
+        for box in self.boxes:
+            serves = box.state is api.NodeState.LIVE
+            self.judge.drains(front.number, box.name, None if serves else self.loop.time())
+        front.core.tell(api.NodeList(api.ListKind.FULL, entries))
+
+    def kill(self, front: VirtualFront) -> None:
+        self.judge.killed(front.number, self.loop.time())
+        if front.view:
+            front.view.kill()
+        if front.core and front.core.bell:
+            front.core.bell.cancel()
+        front.core = front.directory = front.view = None
+        for task in front.open:
+            task.cancel()
+
+    async def attempt(self, front: VirtualFront, node: int, trace: str, asked: Asked) -> Ending[str]:
+        """One attempt, as the wire would end it."""
+        assert front.directory
+        listed = front.directory.boxes.get(node)
+        box = next((one for one in self.boxes if listed and one.name == listed.name), None)
+        await asyncio.sleep(LATENCY)
+        if box is None or not box.up or box.fell:
+            return Ending(api.Outcome.NO_CONNECTION)
+        if box.silent:
+            await asyncio.sleep(3600)
+        now = self.loop.time()
+        made = self.judge.attempt(trace, box.name, now, box.cell, box.zone, asked.form)
+        self.count_cold(box, now, asked.units)
+        if box.fell:
+            made.ended = now
+            return Ending(api.Outcome.RESET)
+        ticket = box.model.take(now, trace, asked.units)
+        try:
+            match ticket.fate:
+                case Fate.FULL:
+                    made.refused = True
+                    return Ending(api.Outcome.FULL)
+                case Fate.UNREAD:
+                    return Ending(api.Outcome.RESET)
+            await asyncio.sleep(ticket.ends - now)
+            if box.fell or not box.up:
+                return Ending(api.Outcome.RESET)
+            made.ran = True
+            await asyncio.sleep(LATENCY)
+            match ticket.fate:
+                case Fate.RESET:
+                    return Ending(api.Outcome.RESET)
+                case Fate.LOST:
+                    await asyncio.sleep(3600)
+                case Fate.SPOILT:
+                    return Ending(api.Outcome.ERROR)
+            busy = box.model.busy(self.loop.time()) if self.scenario.terms.report == "answers" else None
+            return Ending(api.Outcome.SERVED, box.name, busy=busy)
+        except asyncio.CancelledError:
+            if not made.ran:
+                made.ran = not box.model.withdraw(self.loop.time(), ticket)
+            raise
+        finally:
+            made.ended = self.loop.time()
+
+    def count_cold(self, box: VirtualBox, now: float, units: float) -> None:
+        power, model = self.scenario.power, box.model
+        if model.born is None or now - model.born >= power.ramp:
+            return
+        bears = power.tip_multiple * model.rate(now) * power.tip_after
+        self.judge.bears(box.name, now, units, bears)
+        came = [(at, one) for at, one, _ in self.judge.cold[box.name][-512:] if at >= now - power.tip_after]
+        if self.tips and sum(one for _, one in came) > bears + self.judge.cold_slack:
+            box.fell = True
+            self.end_box(box)
+
+    # Clients
+
+    async def ask(self, drawn: Drawn) -> None:
+        """A request, with the tries that its client makes."""
+        served, load, first = None, self.scenario.load, self.loop.time()
+        for number in range(1 + load.retries):
+            trace = drawn.trace if number == 0 else f"{drawn.trace[:-2]}{number:02x}"
+            status, wait = await self.once(drawn, trace)
+            if status == 200:
+                served = self.loop.time()
+            if status not in (None, 503):
+                break
+            await asyncio.sleep(max(wait, load.retry_s))
+        self.wishes.append(Wish(first, drawn.volume, drawn.kind, drawn.units, served))
+
+    async def once(self, drawn: Drawn, trace: str) -> tuple[int | None, float]:
+        """Its status, None where no front was there, and the wait that was told."""
+        front, now = self.fronts[drawn.front], self.loop.time()
+        core, kind = front.core, drawn.kind
+        asked = Asked(drawn.front, drawn.volume, kind, drawn.units, now, now + kind.deadline)
+        self.judge.took(trace, asked)
+        if core is None:
+            asked.excused = True
+            return None, 0.0
+        plans, kinds = self.scenario.plans, self.scenario.kinds
+        arrival = api.Arrival(
+            request=core.new_id(), class_index=kinds.index(kind), plan=drawn.volume % len(plans),
+            volume=drawn.volume, item=int(drawn.block, 16), cell=drawn.volume % self.scenario.boxes,
+            units=drawn.units, deadline=core.now() + kind.deadline, hosts=self.scenario.load.hosts,
+        )  # fmt: skip
+        task = asyncio.ensure_future(
+            core.serve(arrival, lambda node: self.attempt(front, node, trace, asked))
+        )
+        front.open.add(task)
+        task.add_done_callback(front.open.discard)
+        try:
+            ending = await task
+        except asyncio.CancelledError:  # its front was killed
+            return None, 0.0
+        now = self.loop.time()
+        match ending:
+            case Served(value):
+                self.judge.answer(trace, 200, f"{trace} {value}".encode(), now)
+                return 200, 0.0
+            case Refused(wait):
+                self.judge.answer(trace, 503, b"", now)
+                self.refused.append((now, wait))
+                return 503, wait
+            case Failed():
+                self.judge.answer(trace, 502, b"", now)
+                return 502, 0.0
+
+    # Troubles
+
+    async def trouble(self, trouble: Trouble) -> None:
+        await asyncio.sleep(trouble.at)
+        if trouble.links:
+            return await self.trouble_links(trouble)
+        step = trouble.over / max(1, len(trouble.of))
+
+        async def one(place: int, subject: int) -> None:
+            await asyncio.sleep(place * step)
+            await self.act(subject, trouble)
+
+        await asyncio.gather(*(one(place, subject) for place, subject in enumerate(trouble.of)))
+
+    async def act(self, subject: int, trouble: Trouble) -> None:
+        match trouble.kind:
+            case "roll" | "kill" | "powercut":
+                front = self.fronts[subject]
+                self.kill(front)
+                await asyncio.sleep(trouble.lasts if trouble.kind == "powercut" else DOWN)
+                await self.start(front)
+            case "restart":
+                box = self.boxes[subject]
+                self.end_box(box)
+                await asyncio.sleep(trouble.lasts)
+                self.boxes[subject] = self.begin_box(subject, box.name, self.loop.time())
+                self.publish(self.boxes[subject])
+            case "replace":
+                box = self.boxes[subject]
+                self.publish(box, api.NodeState.DRAINING)
+                fresh = self.boxes[subject] = self.begin_box(subject, f"{box.name}+", self.loop.time())
+                self.boxes.append(box)  # it goes on with what it has
+                self.publish(fresh)
+                await asyncio.sleep(DRAIN)
+                self.publish(box, api.NodeState.GONE)
+                await asyncio.sleep(max(kind.deadline for kind in self.scenario.kinds))
+                box.up = False
+                self.boxes.remove(box)
+            case "silence":
+                box = self.boxes[subject]
+                box.silent = True
+                await asyncio.sleep(trouble.lasts)
+                box.silent = False
+            case "reset" | "lose_answers" | "spoil" | "slow":
+                model = self.boxes[subject].model
+                model.ailing[trouble.kind] = trouble.share
+                await asyncio.sleep(trouble.lasts)
+                model.ailing.pop(trouble.kind, None)
+            case "drain":
+                self.publish(self.boxes[subject], api.NodeState.DRAINING)
+                await asyncio.sleep(trouble.lasts)
+                self.publish(self.boxes[subject])
+            case other:
+                raise BadConfig(f"trouble.kind: {other} is for real processes only")
+
+    async def trouble_links(self, trouble: Trouble) -> None:
+        links = trouble.links
+        assert links
+        here, there = (
+            frozenset(f"{one.host}:{one.port}" for one in map(address_of, numbers))
+            for numbers in (trouble.of, links.to)
+        )
+        faults = [
+            Fault(one, other, links.cut, links.loss, links.doubles, links.garbles, links.delay, links.jitter)
+            for one, other in ([(here, there)] if links.one_way else [(here, there), (there, here)])
+        ]
+        self.network.faults += faults
+        await asyncio.sleep(trouble.lasts)
+        for fault in faults:
+            self.network.faults.remove(fault)
+
+    # The play
+
+    async def play(self, warm: float = 5.0) -> Emulation:
+        """``warm``: seconds before the load begins, in which the view of the fleet settles."""
+        scenario = self.scenario
+        self.boxes = [self.begin_box(cell, f"s-{cell:03d}", None) for cell in range(scenario.boxes)]
+        for front in self.fronts:
+            await self.start(front)
+        await asyncio.sleep(warm if scenario.view else 0.1)
+        began = self.began = self.loop.time()
+        tasks = [asyncio.ensure_future(self.trouble(one)) for one in scenario.troubles]
+        for drawn in requests(scenario):
+            await asyncio.sleep(max(0.0, began + drawn.at - self.loop.time()))
+            tasks.append(asyncio.ensure_future(self.ask(drawn)))
+        await asyncio.gather(*tasks)
+        for front in self.fronts:
+            self.kill(front)
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        return self
+
+    def broken(self) -> list[str]:
+        return self.judge.broken(self.scenario.power.tip_after)
+
+
+def emulate(scenario: Scenario, make: Make = core_of, tips: bool = True) -> Emulation:
+    """Play it in virtual time; what came of it."""
+
+    async def main() -> Emulation:
+        return await Emulation(scenario, make, tips).play()
+
+    return run(main())
--- /dev/null
+++ b/cleatyoke/emulate/view.py
@@ -0,0 +1,80 @@
+"""The fleet's view, and what is lent by it, of fronts by the hundred in one process: the real carrier's
+steps on a network in virtual time in place of its sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from cleatyoke.config import Address, FleetPeers
+from cleatyoke.emulate.network import Network
+from cleatyoke.faults import Faults
+from cleatyoke.fleet.members import Action, Answered, Asked, Exchange, Heard, Reply, Send
+from cleatyoke.net.fleet import PATIENCE, FleetView, told
+
+
+class Ether:
+    """Who listens where, and what lies between."""
+
+    def __init__(self, network: Network) -> None:
+        self.network, self.loop = network, asyncio.get_running_loop()
+        self.views: dict[str, VirtualView] = {}  # by address
+        self.streams: dict[int, tuple[VirtualView, str]] = {}  # token: who waits for an answer, from whom
+        self.tokens = 0
+
+    def later(self, after: float, address: str, act: Callable[[VirtualView], None]) -> None:
+        def arrive() -> None:
+            if view := self.views.get(address):
+                act(view)
+
+        self.loop.call_later(after, arrive)
+
+
+class VirtualView(FleetView):
+    def __init__(
+        self, ether: Ether, peers: FleetPeers, name: str, hosts: int, seed: int, faults: Faults
+    ) -> None:
+        super().__init__(peers, name, hosts, seed, faults)
+        self.ether, self.address = ether, told(peers.advertise)
+
+    async def start(self) -> None:
+        self.ether.views[self.address] = self
+        self.step()
+
+    def kill(self) -> None:
+        """As by SIGKILL: no word, and nothing of it is left."""
+        if self.ether.views.get(self.address) is self:
+            del self.ether.views[self.address]
+        for bell in (self.bell, self.market.bell):
+            if bell:
+                bell.cancel()
+
+    def close_sockets(self) -> None:
+        self.kill()
+
+    def act(self, action: Action) -> None:
+        network, here = self.ether.network, self.address
+        match action:
+            case Send(target, data):
+                for after, came in network.datagram(here, target, data):
+                    self.ether.later(after, target, lambda view, came=came: view.step(Heard(came)))  # type: ignore[misc]
+            case Exchange(target, data):
+                reached = network.stream(here, target, data)
+                if reached is None or target not in self.ether.views:
+                    self.ether.later(PATIENCE, here, lambda view: view.step(Answered(target, None)))
+                    return
+                self.ether.tokens += 1
+                token = self.ether.tokens
+                self.ether.streams[token] = self, target
+                self.ether.later(reached, target, lambda view: view.step(Asked(token, data)))
+            case Reply(token, data):
+                asker, _ = self.ether.streams.pop(token)
+                back = network.stream(here, asker.address, data)
+                if back is not None:
+                    self.ether.later(back, asker.address, lambda view: view.step(Answered(here, data)))
+            case _:
+                super().act(action)
+
+
+def address_of(front: int) -> Address:
+    return Address(f"10.0.{front // 250}.{front % 250 + 1}", 7946)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -19,6 +19,7 @@
 
 from cleatyoke.config import BadConfig, FleetPeers, read_address, read_fronts
 from cleatyoke.emulate.network import Fault, Network
+from cleatyoke.emulate.traffic import emulate
 from cleatyoke.faults import Faults
 from cleatyoke.figures import Figures
 from cleatyoke.fleet import wire
@@ -26,6 +27,7 @@
 from cleatyoke.net.fleet import MOST_HEARD, FleetView
 from cleatyoke.net.ops import Commands, answer
 from cleatyoke.standin.play import Report
+from cleatyoke.standin.scenario import make_scenario
 from cleatyoke.standin.search import play_values, pool, rules
 from cleatyoke.standin.views import View, ViewJudge, read_view
 
@@ -75,6 +77,7 @@
     """Eight to twelve processes each, three plays at once."""
 
     plays: ClassVar[dict[str, Future[Report]]]
+    values: ClassVar[dict[str, Any]]
 
     @classmethod
     def setUpClass(cls) -> None:
@@ -88,7 +91,7 @@
                 "trouble": [one for one in values[name]["trouble"] if one["kind"] in boxes],
             }
             values |= {f"{name} lent": lent, f"{name} fixed": {**lent, "view": {"enabled": True}}}
-        workers = pool()
+        cls.values, workers = values, pool()
         cls.addClassCleanup(workers.shutdown)
         cls.plays = {name: workers.submit(play_values, name, one) for name, one in values.items()}
 
@@ -115,6 +118,15 @@
         lent, fixed = self.kept("fleet-cold lent"), self.kept("fleet-cold fixed")
         self.assertGreater(lent.served, 1.15 * fixed.served)
 
+    def test_the_emulator_tells_what_processes_do(self) -> None:
+        """The same scenario, the same requests, by processes on sockets and in virtual time."""
+        for name in ("fleet-cold lent", "fleet-cold fixed"):
+            report, played = self.kept(name), emulate(make_scenario(name, self.values[name]))
+            there = [one for one in played.judge.asked.values() if not one.excused]
+            self.assertEqual((played.broken(), len(there)), ([], report.requests))
+            served = sum(one.status == 200 for one in there) / len(there)
+            self.assertAlmostEqual(served, report.served, delta=0.08)
+
     def test_wrong_programs_are_caught(self) -> None:
         """One that takes silence for an end, and one whose lives all have one boot number and never rise."""
         fleet = {"fronts": 5, "boxes": 2, "seconds": 9.0}
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,124 @@
+"""The emulator of boxes and traffic: virtual time, the same play every time, the rules judged as on
+sockets, and what is counted as earned."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Iterator
+
+import pytest
+import structlog
+
+from cleatyoke import api
+from cleatyoke.core import Core
+from cleatyoke.emulate import worth
+from cleatyoke.emulate.clock import Idle, run
+from cleatyoke.emulate.traffic import UNIX, Emulation, emulate
+from cleatyoke.emulate.worth import Wish
+from cleatyoke.standin.scenario import Scenario, make_scenario
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    yield
+    structlog.reset_defaults()
+
+
+def scenario(troubles: list[dict[str, object]], **changes: dict[str, object]) -> Scenario:
+    values: dict[str, dict[str, object]] = {
+        "fleet": {"fronts": 6, "boxes": 4, "seconds": 8}, "load": {"rate": 90, "hosts": 2}
+    }
+    tables = {name: {**values.get(name, {}), **table} for name, table in {**values, **changes}.items()}
+    plans = [{"name": "p", "reserve": 4, "worth": 2}]
+    return make_scenario("emulated", {**tables, "trouble": troubles, "plan": plans})
+
+
+def test_time_passes_only_where_everything_waits() -> None:
+    async def main() -> tuple[float, list[int]]:
+        loop, order = asyncio.get_running_loop(), list[int]()
+
+        async def one(number: int, after: float) -> None:
+            await asyncio.sleep(after)
+            order.append(number)
+
+        async with asyncio.TaskGroup() as group:
+            for number, after in enumerate((7200.0, 0.5, 3600.0)):
+                group.create_task(one(number, after))
+        return loop.time(), order
+
+    assert run(main()) == (7200.0, [1, 2, 0])
+
+    async def forever() -> None:
+        await asyncio.get_running_loop().create_future()
+
+    with pytest.raises(Idle):
+        run(forever())
+
+
+def answers(played: Emulation) -> list[tuple[str, int | None, float | None]]:
+    return [(trace, one.status, one.answered) for trace, one in played.judge.asked.items()]
+
+
+def test_a_play_keeps_the_rules_and_is_the_same_every_time() -> None:
+    met = (
+        "roll 1 0 2", "roll 2 1 0", "powercut 3 2 1", "replace 2 0 0", "restart 4 1 0.5", "reset 1 1 3",
+        "lose_answers 1 2 3", "spoil 1 3 3", "slow 5 2 1", "silence 5 3 1", "drain 6 2 1",
+    )  # fmt: skip
+    troubles: list[dict[str, object]] = [
+        {"kind": kind, "at": int(at), "of": [int(of)], "lasts_s": float(lasts), "share": 0.3}
+        for kind, at, of, lasts in map(str.split, met)
+    ]
+    one, other = emulate(scenario(troubles)), emulate(scenario(troubles))
+    assert one.broken() == []
+    assert answers(one) == answers(other)
+    assert {status for _, status, _ in answers(one)} == {200, 502, 503, None}
+
+
+def opened_at_once(settings: api.Settings) -> Core:
+    """A front that takes every box for warm."""
+    settings.safety = dataclasses.replace(settings.safety, ramp=0.0)
+    return Core(settings, UNIX)
+
+
+def test_a_loss_of_all_power_and_what_opening_everything_at_once_does_then() -> None:
+    loss = scenario(
+        [{"kind": "powercut", "at": 1, "lasts_s": 1.3}, {"kind": "restart", "at": 1, "lasts_s": 1}],
+        load={"rate": 170, "hosts": 6, "retries": 2}, box={"ramp_s": 5, "cold_from": 0.1},
+    )  # fmt: skip
+    ours, wrong = emulate(loss), emulate(loss, opened_at_once)
+    assert ours.broken() == [] and not any(box.fell for box in ours.boxes)
+    assert any(box.fell for box in wrong.boxes)
+    assert any(line.startswith("cold:") for line in wrong.broken())
+    sums = [sum(worth.earned(loss, played.wishes)) for played in (wrong, ours)]
+    best = sum(worth.ideal(loss, ours.wishes, ours.power))
+    assert sums[0] < sums[1] < best <= 1.001 * sum(worth.due(loss, ours.wishes))
+
+
+def test_what_is_lent_by_the_view_is_lent_in_virtual_time_too() -> None:
+    hot = {"rate": 60, "hosts": 6, "hot": 0.8, "skew": 0.9, "volumes": 4}
+    restarts: list[dict[str, object]] = [{"kind": "restart", "at": 1, "of": [0], "lasts_s": 0.2}]
+    alone = emulate(scenario(restarts, load=hot, view={"enabled": True}))
+    lent = emulate(scenario(restarts, load=hot, view={"enabled": True, "cold": True}))
+    assert alone.broken() == lent.broken() == []
+    served = [sum(one.status == 200 for one in played.judge.asked.values()) for played in (alone, lent)]
+    assert served[1] > 1.1 * served[0]
+
+
+def test_worth_goes_to_the_reserve_first_and_to_those_in_time() -> None:
+    small = scenario([])
+    kind = small.kinds[0]
+    wishes = [
+        Wish(0.1, 0, kind, 2.0, 0.2), Wish(0.2, 0, kind, 2.0, 0.2 + kind.aim + 0.1),
+        Wish(0.3, 0, kind, 4.0, 0.4), Wish(1.3, 0, kind, 4.0, None),
+    ]  # fmt: skip
+    unit = kind.worth * 2
+    late = 2 * 0.35 * unit * kind.late_share  # all of its second's reserve is taken by the two in time
+    assert worth.earned(small, wishes) == pytest.approx([2 * unit, late, (2 + 2 * 0.35) * unit, 0.0])
+    assert sum(worth.due(small, wishes)) == pytest.approx((4 + 4 * 0.35 + 4) * unit)
+    assert worth.ideal(small, wishes, lambda cell, at: 0.0) == [0.0] * 4
+    few = worth.ideal(small, wishes, lambda cell, at: 4.0 if at < 1 else 0.0)  # a unit a slot; no last second
+    assert few[3] == 0.0 and 4 * unit <= sum(few) < sum(worth.due(small, wishes[:3]))
+    assert worth.over_time(wishes, [1.0, 2.0, 3.0, 4.0], 0.0) == [6.0, 4.0]
