--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -33,6 +33,7 @@
     from cleatyoke.net.fleet import FleetView
     from cleatyoke.net.metrics import MetricsListener
     from cleatyoke.net.probes import Probes
+    from cleatyoke.net.startup import Startup
     from cleatyoke.sftp.front import FileFront
     from cleatyoke.vrrp import Carrier
 
@@ -119,6 +120,7 @@
         self.metrics: MetricsListener | None = None
         self.probes: Probes | None = None
         self.fleet: FleetView | None = None
+        self.startup: Startup | None = None
         self.files = FileService()
 
     def asked(self) -> None:
@@ -145,6 +147,9 @@
         )  # fmt: skip
         self.discovery.start()
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if config.fleet:
+            self.open_control()  # first, as staff may ask what a start waits for
+            await self.recover(config.fleet)
         try:
             self.front.listen()
             self.files = await FileService.start(config, self.core, directory)
@@ -152,19 +157,21 @@
             raise BadConfig(f"RELAY_ACCEPT_FD: {error}") from error
         except OSError as error:
             raise BadConfig(f"listen: {error}") from error
-        if config.fleet:
-            self.fleet = await self.start_fleet(config.fleet)
-        if config.ops:
-            try:
-                self.control = ControlListener(config.ops, self.commands())
-            except OSError as error:
-                raise BadConfig(f"ops: {error}") from error
-            self.control.start()
+        if not self.control:
+            self.open_control()
         if config.metrics:
             self.metrics = self.open_metrics(config.metrics)
         self.handed.start()
         self.lives.start(self.core.tell)
 
+    def open_control(self) -> None:
+        if self.config.ops:
+            try:
+                self.control = ControlListener(self.config.ops, self.commands())
+            except OSError as error:
+                raise BadConfig(f"ops: {error}") from error
+            self.control.start()
+
     def start_probes(self, config: Config) -> Probes:
         from cleatyoke.load.probes import Prober  # imported only where load is told by probes alone
         from cleatyoke.net.probes import Probes
@@ -175,20 +182,30 @@
         probes.start()
         return probes
 
-    async def start_fleet(self, peers: FleetPeers) -> FleetView:
+    async def recover(self, peers: FleetPeers) -> None:
+        """What comes before the door opens where fronts keep a view of one another: the own memory, the
+        peers' view, the list; each waited for within a bound (``fleet.recovery``)."""
         try:
             from cleatyoke.net.fleet import FleetView  # an optional extra, imported only where it is on
-
-            config = self.config
-            view = FleetView(peers, config.name, config.settings.hosts, config.seed, self.faults)
+            from cleatyoke.net.startup import Startup
+
+            config, directory, discovery = self.config, self.directory, self.discovery
+            self.startup = startup = Startup()
+            recall = await startup.recall(peers, config.name, self.faults)
+            boot = recall.last.boot if recall else 0
+            view = FleetView(peers, config.name, config.settings.hosts, config.seed, self.faults, boot)
+            if recall:
+                recall.serve(view)
             view.share(self.handed, config.state_dir)
             if peers.limits or peers.cold:
-                boxes = self.directory.boxes
+                boxes = directory.boxes
                 view.lend(self.core, lambda node: boxes[node].name if node in boxes else None)
             await view.start()
         except (ImportError, OSError) as error:
             raise BadConfig(f"fleet: {error}") from error
-        return view
+        self.fleet = view
+        await startup.meet(view)
+        await startup.hear_of_boxes(bool(directory.boxes), discovery.heard)
 
     def open_metrics(self, address: Address) -> MetricsListener:
         try:
@@ -203,12 +220,18 @@
             raise BadConfig(f"metrics: {error}") from error
 
     def commands(self) -> Commands:
-        front, directory, fleet = self.front, self.directory, self.fleet
+        front, directory = self.front, self.directory
 
         def figures() -> list[str]:
             lines = self.figures.lines(list(self.config.classes), len(directory.boxes), directory.down())
-            return lines + (fleet.figures() if fleet else [])
+            return lines + (self.fleet.figures() if self.fleet else [])
+
+        def held(box: str, hold: bool) -> tuple[int, int]:
+            if self.fleet:
+                return self.fleet.held_by(box, hold, HELD_BY)
+            return 1, self.config.settings.hosts  # it is still starting
 
+        kept = bool(self.config.fleet)
         return Commands(
             ready=lambda: bool(front.listener) and not front.closing and front.drain.says_up(front.ready()),
             figures=figures,
@@ -216,8 +239,10 @@
             enable=self.handed.enable,
             drain=front.drained,
             resume=front.drain.resume,
-            fleet=fleet.lines if fleet else None,
-            shared=(lambda box, hold: fleet.held_by(box, hold, HELD_BY)) if fleet else None,
+            fleet=(lambda: self.fleet.lines() if self.fleet else []) if kept else None,
+            shared=held if kept else None,
+            replica=(lambda: self.fleet.replica_lines() if self.fleet else []) if kept else None,
+            recovery=(lambda: self.startup.lines() if self.startup else []) if kept else None,
         )
 
     def reload(self) -> None:
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -84,6 +84,7 @@
     timing: dict[str, float]  # seconds, by their names in ``fleet.members.Timing``
     limits: bool = False  # parts of limits are lent among the fronts
     cold: bool = False  # parts of what a cold box bears are
+    durable: Path | None = None  # folder of what outlives a loss of power, on a disk that lasts
 
 
 @dataclass(slots=True, frozen=True)
@@ -456,6 +457,9 @@
     for name in ("answer", "gossip"):
         if timing[name] >= timing["period"]:
             raise table.fail(f"{name}_s", f"want less than period_s, found {timing[name]:g}")
+    folder = table.text("durable", "")
+    if folder and not Path(folder).is_absolute():
+        raise table.fail("durable", f"want an absolute path, found {folder!r}")
     fleet = FleetPeers(
         deployment=deployment,
         listen=listen,
@@ -465,6 +469,7 @@
         timing=timing,
         limits=table.flag("limits"),
         cold=table.flag("cold"),
+        durable=Path(folder) if folder else None,
     )
     table.nothing_else()
     return fleet
--- /dev/null
+++ b/cleatyoke/durable/store.py
@@ -0,0 +1,129 @@
+"""Two files of rows, by sqlite3 in WAL mode with full synchronisation. Blocking: only a thread of its own
+calls it.
+
+A file that cannot be read, is damaged or is of a newer form is put aside under a name that says why, and
+begun anew; nothing of it is deleted. What one file lost, the other has: a write is over when both have it,
+or the one that works. """
+
+from __future__ import annotations
+
+import contextlib
+import sqlite3
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from cleatyoke.durable.records import FORM, Doubt, Memory, Row, read, rows_of
+
+APPLICATION = 0x436C5431  # sqlite's application_id: "ClT1"
+NAMES = ("front-a.sqlite", "front-b.sqlite")
+BUSY = 2.0  # seconds for a lock, as while an older process of this front ends
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS rows (
+    kind TEXT PRIMARY KEY, form INTEGER NOT NULL, front TEXT NOT NULL, data BLOB NOT NULL, sum INTEGER NOT
+    NULL ) """
+
+
+class Unreadable(Exception):
+    """The file as a whole can't be used; the text says why in a few words."""
+
+
+@contextlib.contextmanager
+def opened(path: Path, make: bool) -> Iterator[sqlite3.Connection]:
+    """Raises ``Unreadable``, or ``sqlite3.Error`` where the disk does not let it be used."""
+    if not make and not path.exists():
+        raise Unreadable("no file")
+    connection = sqlite3.connect(path, timeout=BUSY, isolation_level=None, check_same_thread=False)
+    try:
+        connection.execute("PRAGMA journal_mode = WAL")
+        connection.execute("PRAGMA synchronous = FULL")
+        application, form = (
+            connection.execute(f"PRAGMA {name}").fetchone()[0] for name in ("application_id", "user_version")
+        )
+        tables = connection.execute("SELECT count(*) FROM sqlite_schema").fetchone()[0]
+        if tables and application != APPLICATION:
+            raise Unreadable("foreign")
+        if form > FORM:
+            raise Unreadable(f"newer form {form}")
+        if (found := connection.execute("PRAGMA quick_check").fetchone()[0]) != "ok":
+            raise Unreadable(f"damaged: {str(found)[:80]}")
+        if make and not tables:
+            connection.execute(f"PRAGMA application_id = {APPLICATION}")
+            connection.execute(f"PRAGMA user_version = {FORM}")
+            connection.execute(SCHEMA)
+        yield connection
+    finally:
+        connection.close()
+
+
+def rows_in(path: Path) -> list[tuple[Any, ...]]:
+    """Raises ``Unreadable`` or ``sqlite3.Error``."""
+    with opened(path, make=False) as connection:
+        return connection.execute("SELECT kind, form, front, data, sum FROM rows ORDER BY kind").fetchall()
+
+
+def damaged(error: sqlite3.Error) -> bool:
+    """Whether the file is at fault, rather than the disk or somebody who holds it."""
+    return not isinstance(error, sqlite3.OperationalError) or "malformed" in str(error)
+
+
+def put_aside(path: Path) -> Path:
+    """Rename it, with what sqlite keeps beside it. Raises ``OSError``."""
+    number = 1
+    while (aside := path.with_name(f"{path.name}.doubtful-{number}")).exists():
+        number += 1
+    for ending in ("-wal", "-shm", ""):
+        with contextlib.suppress(FileNotFoundError):
+            path.with_name(path.name + ending).rename(aside.with_name(aside.name + ending))
+    return aside
+
+
+class Disk:
+    """Both files of one front in a folder of its own. ``front``: deployment and name."""
+
+    def __init__(self, folder: Path, front: str) -> None:
+        self.folder, self.front = folder, front
+        self.paths = [folder / name for name in NAMES]
+
+    def load(self) -> tuple[Memory, list[Doubt]]:
+        """What both say together, and what was not believed. Raises nothing."""
+        memory, doubts = Memory(), list[Doubt]()
+        for path in self.paths:
+            if not path.exists():
+                continue
+            try:
+                found, doubtful = read(rows_in(path), self.front, path.name)
+                memory = memory.merge(found)
+                doubts += doubtful
+                if any(doubt.why.startswith("of another front") for doubt in doubtful):
+                    raise Unreadable("of another front")
+            except (Unreadable, sqlite3.Error, OSError) as error:
+                doubts.append(self.set_aside(path, error))
+        return memory, doubts
+
+    def set_aside(self, path: Path, error: Exception) -> Doubt:
+        why = str(error) or type(error).__name__
+        if isinstance(error, OSError) or (isinstance(error, sqlite3.Error) and not damaged(error)):
+            return Doubt(path.name, why)  # the disk's fault: the file may be good
+        try:
+            return Doubt(path.name, f"{why}; put aside as {put_aside(path).name}")
+        except OSError as failed:
+            return Doubt(path.name, f"{why}; and not put aside, {failed.strerror}")
+
+    def save(self, memory: Memory) -> list[Doubt]:
+        """Write all to both, one after the other; what failed, by file. A row that is there and cannot be
+        believed any more is written over, as its file passed the look at the start."""
+        rows, failed = rows_of(memory, self.front), []
+        for path in self.paths:
+            try:
+                self.folder.mkdir(parents=True, exist_ok=True)
+                self.write(path, rows)
+            except (Unreadable, sqlite3.Error, OSError) as error:
+                failed.append(Doubt(path.name, str(error) or type(error).__name__))
+        return failed
+
+    def write(self, path: Path, rows: list[Row]) -> None:
+        with opened(path, make=True) as connection:
+            connection.execute("BEGIN IMMEDIATE")
+            connection.executemany("INSERT OR REPLACE INTO rows VALUES (?, ?, ?, ?, ?)", rows)
+            connection.execute("COMMIT")
--- a/cleatyoke/emulate/traffic.py
+++ b/cleatyoke/emulate/traffic.py
@@ -224,8 +224,7 @@
         """A request, with the tries that its client makes."""
         served, load, first = None, self.scenario.load, self.loop.time()
         for number in range(1 + load.retries):
-            trace = drawn.trace if number == 0 else f"{drawn.trace[:-2]}{number:02x}"
-            status, wait = await self.once(drawn, trace)
+            status, wait = await self.once(drawn, drawn.trace_of(number))
             if status == 200:
                 served = self.loop.time()
             if status not in (None, 503):
--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -102,7 +102,14 @@
     """This life is to end in order, and uses nothing more: others may count it as stopped by this word."""
 
 
-Event = Heard | Asked | Answered | Leave
+@dataclass(slots=True, frozen=True)
+class Remembered:
+    """A boot number of our name that a life before used, as the disk told once this one had begun."""
+
+    boot: int
+
+
+Event = Heard | Asked | Answered | Leave | Remembered
 
 
 # Actions
@@ -513,6 +520,9 @@
                     self.load(view.sender.id, view.copies)
                 case Leave():
                     self.leave()
+                case Remembered(boot):
+                    if boot >= self.id.boot:
+                        self.rise(boot)
         except Refused as refused:
             reason = str(refused)
             self.figures.refused[reason] = self.figures.refused.get(reason, 0) + 1
--- a/cleatyoke/net/fleet.py
+++ b/cleatyoke/net/fleet.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -29,12 +29,14 @@
     Action,
     Answered,
     Asked,
+    Change,
     Deliver,
     Event,
     Exchange,
     Heard,
     Leave,
     Members,
+    Remembered,
     Reply,
     Send,
     Timing,
@@ -46,12 +48,17 @@
 from cleatyoke.fleet.wire import MOST_STREAM, State
 from cleatyoke.net.handover import HoldFile
 
+if TYPE_CHECKING:
+    from cleatyoke.durable.records import Memory
+    from cleatyoke.net.recall import Recall
+
 MOST_HEARD = 2000  # datagrams taken in a second; more are dropped, so that a flood costs no request its time
 MOST_STREAMS = 16  # open at once, each way; one more is refused
 PATIENCE = 1.0  # seconds for a whole exchange by stream
 CLAIM = 1.0  # seconds between tries at the stated address, where an older process of this name holds it
 COPIES = "cleatyoke-fleet-copies"  # file in $TMPDIR
 TRADE = 0.05  # seconds between looks at what is needed of limits
+HINTS = 8  # of the peers that the disk remembers, that are asked beside the seeds
 TRIES = 8  # at a port that both sockets can have
 log = structlog.get_logger()
 
@@ -74,10 +81,13 @@
 class FleetView:
     """One front's part in the view of its fleet."""
 
-    def __init__(self, peers: FleetPeers, name: str, hosts: int, seed: int, faults: Faults) -> None:
+    def __init__(
+        self, peers: FleetPeers, name: str, hosts: int, seed: int, faults: Faults, boot: int = 0
+    ) -> None:
+        """``boot``: of this life, as its disk has it; 0: nothing is known of it."""
         self.peers, self.hosts, self.faults = peers, hosts, faults
         self.loop = asyncio.get_running_loop()
-        boot, times = peers.boot or int(time.time() * 1000), peers.timing
+        boot, times = peers.boot or boot or int(time.time() * 1000), peers.timing
         timing = Timing(
             period=times["period"], answer=times["answer"], gossip=times["gossip"], sync=times["sync"],
             departed=times["departed"], join=times["join"],
@@ -88,6 +98,8 @@
         )  # fmt: skip
         self.copies = self.members.store = Sharing(lambda: self.members.id)
         self.rights = Rights(self.loop.time(), random.Random(f"rights:{seed}:{name}:{boot}"))
+        self.recall: Recall | None = None
+        self.answered = asyncio.Event()  # a peer's whole view has come
         self.core: Core | None = None
         self.limits: Limits | None = None
         self.cold: ColdShares | None = None
@@ -162,6 +174,8 @@
         """Say that this life is over: it uses nothing more from here on."""
         with self.faults.step("fleet_leave"):
             self.step(Leave())
+        if self.recall:
+            self.recall.stop()
         for bell in (self.bell, self.claims, self.market):
             if bell:
                 bell.stop() if isinstance(bell, Beat) else bell.cancel()
@@ -182,6 +196,8 @@
         self.copies.restore(data, frozenset(file.directory.holds.held))
 
         def keep() -> None:
+            if self.recall:
+                self.recall.keep()
             with self.faults.step("fleet_copies"):
                 spare = kept.with_suffix(".new")
                 spare.write_bytes(self.copies.dump())
@@ -202,19 +218,40 @@
         if absent := self.copies.holds.boxes() - frozenset(file.directory.holds.held):
             file.heard(absent, frozenset())
 
+    def remember(self, memory: Memory) -> None:
+        """Take what the disk says, which may come after the start. Whom this front knew before is asked
+        too, as its seeds may be down."""
+        self.copies.holds = self.copies.holds.merge(memory.holds)
+        known = self.members.seeds
+        known += [peer for peer in memory.peers if peer not in known][:HINTS]
+        if self.transport:  # it is late
+            self.step(Remembered(memory.boot))
+            self.copies.changed(self.copies.holds.boxes(), frozenset())
+
+    async def met(self) -> str:
+        """Once a peer's whole view has come, or there is nobody to ask."""
+        if not self.members.other_seeds():
+            return "nobody to ask"
+        await self.answered.wait()
+        return "a peer"
+
     def held_by(self, box: str, hold: bool, within: float) -> tuple[int, int]:
         """From the operators' thread: how many fronts have a call made here, of how many that may be up;
-        waits for them so many seconds at the most."""
+        waits for them so many seconds at the most, and for the disk."""
         until = time.monotonic() + within
         while True:
             members = self.members
             there = list(members.present)
             done = (box in self.copies.holds.boxes()) == hold
             having = sum(not self.copies.lacks(id) for id in there) if done else -1
-            if (having == len(there) and done) or time.monotonic() >= until:
+            if (having == len(there) and done and self.on_disk()) or time.monotonic() >= until:
                 return having + 1, max(self.conclusion().count, len(there) + 1)
             time.sleep(0.01)
 
+    def on_disk(self) -> bool:
+        """Whether all holds known here are on the disk, as far as there is one."""
+        return self.recall is None or self.recall.has(self.copies.holds)
+
     # Limits and cold boxes
 
     def lend(self, core: Core, name: Callable[[int], str | None]) -> None:
@@ -307,6 +344,8 @@
                 if self.core:
                     self.trade(Came(sender, body))
             case Told(change, id, by):
+                if change is Change.RENAMED and self.recall:
+                    self.recall.keep()
                 log.info("fleet_change", change=change.value, of=id.name, boot=id.boot, by=by)
 
     # Streams
@@ -337,6 +376,8 @@
             if writer:
                 writer.transport.abort()
         self.step(Answered(address, answer))
+        if answer is not None and self.members.joined:
+            self.answered.set()
 
     async def read(self, reader: asyncio.StreamReader) -> bytes:
         size = int.from_bytes(await reader.readexactly(4), "big")
@@ -395,6 +436,23 @@
                        f"{one.state.name.lower()} {sure} heard={silent}")  # fmt: skip
         return out
 
+    def replica_lines(self) -> list[str]:
+        """For ``show-replica``: of each kind its entries, who is not known to have them, and copies that
+        differed and were settled by the rule."""
+        members, copies, rights = self.members, self.copies, self.rights
+        there = list(members.present)
+        lacking = sorted(id.name for id in there if copies.lacks(id))
+        accounts = list(rights.accounts.items())
+        loans = sum(len(account.loans) for _, account in accounts)
+        return [
+            f"replica.holds entries={len(copies.holds.held)} numbers={len(copies.holds.clock)} "
+            f"lacking={len(lacking)} of={len(there)} settled={copies.merged} disk="
+            + ("none" if self.recall is None else "yes" if self.on_disk() else "behind"),
+            *(f"replica.hold {box}" for box in sorted(copies.holds.held)),
+            *(f"replica.lacks {name}" for name in lacking[:64]),
+            f"replica.rights resources={len(accounts)} loans={loans} refused={rights.refused}",
+        ]
+
     def figures(self) -> list[str]:
         members, told = self.members, self.members.figures
         states = Counter(life.rumour.state for life in list(members.lives.values()))
@@ -406,5 +464,6 @@
         accounts = list(self.rights.accounts.values())
         facts["lent"] = sum(len(account.loans) for account in accounts)
         facts["borrowed"] = sum(len(account.debts) for account in accounts)
+        kept = self.recall.figures() if self.recall else []
         digest = f"fleet.digest={members.digest():08x}"
-        return [*(f"fleet.{name}={value}" for name, value in facts.items()), digest]
+        return [*(f"fleet.{name}={value}" for name, value in facts.items()), *kept, digest]
--- a/cleatyoke/net/ops.py
+++ b/cleatyoke/net/ops.py
@@ -21,6 +21,7 @@
 MOST_LINE = 512  # bytes of a call
 PATIENCE = 4.0  # seconds for the whole line
 TICK = 0.1  # seconds between looks for callers that ran out of time
+SHOWS = ("show-fleet", "show-replica", "show-recovery")
 log = structlog.get_logger()
 
 
@@ -36,6 +37,8 @@
     resume: Callable[[], None]
     fleet: Callable[[], list[str]] | None = None  # the view, where it is on
     shared: Callable[[str, bool], tuple[int, int]] | None = None  # fronts that have it
+    replica: Callable[[], list[str]] | None = None  # the copies that fronts keep, where they do
+    recovery: Callable[[], list[str]] | None = None  # what the start waits for, or waited for
 
 
 def answer(commands: Commands, line: str) -> list[str]:
@@ -44,8 +47,10 @@
     argument = rest.strip()
     if word == "show-stat" and not argument:
         return [*commands.figures(), "EOT"]
-    if word == "show-fleet" and not argument:
-        return [*commands.fleet(), "EOT"] if commands.fleet else ["FAILURE no view of the fleet is kept"]
+    shows = dict(zip(SHOWS, (commands.fleet, commands.replica, commands.recovery)))
+    if word in SHOWS and not argument:
+        show = shows[word]
+        return [*show(), "EOT"] if show else ["FAILURE no view of the fleet is kept"]
     if word in ("disable-server", "enable-server"):
         if not argument or " " in argument:
             return [f"FAILURE {word} wants one server id"]
--- a/cleatyoke/standin/clients.py
+++ b/cleatyoke/standin/clients.py
@@ -64,8 +64,18 @@
         await asyncio.gather(*self.tasks)
 
     async def ask(self, drawn: Drawn) -> None:
-        """One request, from its connection to the one answer."""
-        trace, block, volume, kind, units = drawn.trace, drawn.block, drawn.volume, drawn.kind, drawn.units
+        """A request, with the tries that its client makes."""
+        load = self.scenario.load
+        for number in range(1 + load.retries):
+            asked = await self.once(drawn, drawn.trace_of(number), number > 0)
+            if asked.status not in (None, 429, 503) or (asked.status is None and not asked.excused):
+                return
+            if number < load.retries:
+                await asyncio.sleep(max(asked.wait, load.retry_s))
+
+    async def once(self, drawn: Drawn, trace: str, again: bool) -> Asked:
+        """One try, from its connection to the one answer."""
+        block, volume, kind, units = drawn.block, drawn.volume, drawn.kind, drawn.units
         load, shard, door, moves = (
             self.scenario.load, volume % self.scenario.boxes, self.doors[drawn.front], drawn.moves
         )  # fmt: skip
@@ -78,10 +88,11 @@
             f"key-{trace}" if kind.repeat is Repeat.KEYED else None, b"scan" if kind.write else b"",
         )  # fmt: skip
         key = f"Idempotency-Key: {form.key}\r\n" if form.key else ""
+        mark = "X-Second-Try: 1\r\n" if again else ""
         message = (
             f"{form.method} {form.target} HTTP/1.1\r\n"
             f"Host: front\r\nX-Trace-Id: {trace}\r\nX-Qos: {kind.name}\r\n{key}"
-            f"X-Plan: {self.scenario.plan_of(volume).name}\r\n"
+            f"{mark}X-Plan: {self.scenario.plan_of(volume).name}\r\n"
             f"X-Expires-In-Ms: {int(kind.deadline * 1000)}\r\n"
             f"Content-Length: {len(form.body)}\r\n"
             f"X-IO: volume={volume:016x},units={units},shard={shard},hosts={load.hosts}\r\n"
@@ -98,13 +109,14 @@
                 self.unsent += 1
                 asked.excused = True
                 self.judge.took(trace, asked)
-                return
+                return asked
             self.judge.took(trace, asked)
             if await self.exchange(trace, message, connection, door, asked):
                 if shard == -1 and asked.status == 200 and asked.attempts:
                     self.written.append((block, self.cells[asked.attempts[-1].box]))
-                return
+                return asked
             self.unread += 1
+        return asked
 
     async def exchange(
         self, trace: str, message: bytes, connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
@@ -127,6 +139,8 @@
             )
             crossed = ended and not asked.attempts and self.clock() - sent < CROSSED
             return not crossed or asked.excused
+        advice = (float(one[13:]) for one in lines if one.startswith("retry-after: "))
+        asked.wait = next(advice, 0.0)
         self.judge.answer(trace, int(lines[0].split()[1]), body, self.clock())
         if "connection: close" in lines:
             with contextlib.suppress(OSError):
--- a/cleatyoke/standin/judge.py
+++ b/cleatyoke/standin/judge.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
@@ -56,6 +57,7 @@
     status: int | None = None
     answered: float | None = None
     excused: bool = False  # its front was killed, or it was never taken
+    wait: float = 0.0  # seconds that its answer told it to stay away
     attempts: list[Attempt] = field(default_factory=list)
 
 
@@ -68,6 +70,7 @@
         self.probes = 0
         self.asked: dict[str, Asked] = {}
         self.told: dict[tuple[int, str], float] = {}  # front, box: since when it was told not to send there
+        self.held: dict[tuple[int, str], float] = {}  # front, box: since when it has the hold, over its lives
         self.cold: dict[str, list[tuple[float, float, float]]] = defaultdict(list)  # box: when, units, bears
         self.faults: list[str] = []
         self.pauses: list[tuple[int, float, float]] = []  # front, from, to: its process was stopped
@@ -106,12 +109,11 @@
             if other.ended is None or other.ended > at + OPEN_SLACK:
                 self.overlaps(trace, other, made)
         one.attempts.append(made)
-        since = self.told.get((one.front, box))
-        if since is not None and at > since + self.terms.drain_grace + SLACK and not self.stood(
-            one.front, since, at
-        ):
-            spent = f"{at - since:.2f} s after front {one.front} heard"
-            self.faults.append(f"drain: {trace} reached {box} {spent}")
+        for rule, known in (("drain", self.told), ("hold", self.held)):
+            since = known.get((one.front, box), math.inf)
+            if at > since + self.terms.drain_grace + SLACK and not self.stood(one.front, since, at):
+                spent = f"{at - since:.2f} s after front {one.front} heard"
+                self.faults.append(f"{rule}: {trace} reached {box} {spent}")
         return made
 
     def overlaps(self, trace: str, earlier: Attempt, later: Attempt) -> None:
@@ -129,6 +131,13 @@
         else:
             self.told.setdefault((front, box), at)
 
+    def holds(self, front: int, box: str, at: float | None) -> None:
+        """A front has a hold by hand, which no list and no loss of power takes away; None: it is released."""
+        if at is None:
+            self.held.pop((front, box), None)
+        else:
+            self.held.setdefault((front, box), at)
+
     def killed(self, front: int, at: float) -> None:
         """What was open at a front that was killed outright is lost through no fault of its own."""
         for one in self.asked.values():
--- a/cleatyoke/standin/load.py
+++ b/cleatyoke/standin/load.py
@@ -9,6 +9,8 @@
 
 from cleatyoke.standin.scenario import Kind, Scenario
 
+STEP = 0x9E3779B97F4A7C15  # from one id to the next: an odd number, so that few meet another's
+
 
 @dataclass(slots=True, frozen=True)
 class Drawn:
@@ -23,6 +25,10 @@
     units: int
     moves: float  # draws whether it writes a new object, or reads one written just before
 
+    def trace_of(self, number: int) -> str:
+        """Of its so-manieth try: new with each (protocol page, Clients to fronts)."""
+        return f"{(int(self.trace, 16) + number * STEP) % (1 << 64):016x}"
+
 
 def requests(scenario: Scenario) -> Iterator[Drawn]:
     load, dice, at = scenario.load, random.Random(scenario.seed), 0.0
--- a/cleatyoke/standin/play.py
+++ b/cleatyoke/standin/play.py
@@ -180,6 +180,11 @@
         self.play.judge.killed(self.number, self.play.clock())  # and what it took until it was gone
         self.door.forget()
 
+    def forget(self) -> None:
+        """What stood in memory, $TMPDIR too, is gone with the power; the disk that lasts is not."""
+        for path in self.folder.glob("cleatyoke-*"):
+            path.unlink()
+
     async def pause(self, seconds: float) -> None:
         """SIGSTOP, and SIGCONT after so long."""
         assert self.process
@@ -245,6 +250,7 @@
             "[fleet]", "enabled = true", 'deployment = "standin"', f'listen = "{relay.home(front)}"',
             f'advertise = "{relay.known(front)}"', f"seeds = {[relay.known(one) for one in view.seeds]}",
             f"limits = {str(view.limits).lower()}", f"cold = {str(view.cold).lower()}",
+            f'durable = "{self.folder / f"n{front}" / "durable" if view.durable else ""}"',
             *(f"{name}_s = {view.period * share:g}" for name, share in times.items()), "",
         ])  # fmt: skip
 
@@ -322,6 +328,8 @@
                 await front.pause(trouble.lasts)
             case "powercut":
                 await front.kill()
+                if self.scenario.view and self.scenario.view.durable:
+                    front.forget()
                 await asyncio.sleep(trouble.lasts)
                 front.write()
                 await front.start()
@@ -373,11 +381,11 @@
             return
         everywhere = told[2] == told[4]
         for front in range(self.scenario.fronts) if everywhere else [number]:
-            self.judge.drains(front, box, at)
+            self.judge.holds(front, box, at)
         self.report.held.append(" ".join(told))
         await asyncio.sleep(trouble.lasts)
         for front in range(self.scenario.fronts):
-            self.judge.drains(front, box, None)
+            self.judge.holds(front, box, None)
         other = self.fronts[(number + 1) % len(self.fronts)]
         told = " ".join(await other.call(f"enable-server {box}")).split()
         self.report.held.append(" ".join(told))
--- a/cleatyoke/standin/scenario.py
+++ b/cleatyoke/standin/scenario.py
@@ -118,6 +118,7 @@
     seeds: list[int]
     limits: bool  # they lend one another parts of limits
     cold: bool  # and of what cold boxes bear
+    durable: bool  # what outlives a loss of power stands in a folder of each front
 
 
 @dataclass(slots=True, frozen=True)
@@ -291,6 +292,7 @@
         seeds=numbers(table, "seeds", fronts, list(range(min(3, fronts)))),
         limits=table.flag("limits"),
         cold=table.flag("cold"),
+        durable=table.flag("durable"),
     )
 
 
--- /dev/null
+++ b/tests/test_durable.py
@@ -0,0 +1,262 @@
+"""What outlives a loss of power: the rows and what is believed of them, the files under every kind of
+damage, the thread that writes them, and processes that are killed as they write."""
+
+from __future__ import annotations
+
+import random
+import shutil
+import sqlite3
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cleatyoke.durable.__main__ import main
+from cleatyoke.durable.records import FORM, Doubt, Memory, next_boot, read, rows_of, sealed
+from cleatyoke.durable.store import NAMES, Disk, rows_in
+from cleatyoke.durable.writer import Recalled, Writer
+from cleatyoke.fleet.replicas import Holds
+from cleatyoke.fleet.wire import Id
+
+ROOT = Path(__file__).resolve().parent.parent
+FRONT = "ours/n1"
+HELD = Memory(Holds().hold(Id("n1", 7), "s-003"), 7, ("10.0.0.1:1",))
+
+
+def memories() -> st.SearchStrategy[Memory]:
+    def make(ops: list[tuple[bool, int, int]], boot: int, peers: list[str]) -> Memory:
+        holds = Holds()
+        for hold, life, box in ops:
+            holds = holds.hold(Id(f"n{life}", 1), f"s-{box}") if hold else holds.release(f"s-{box}")
+        return Memory(holds, boot, tuple(peers))
+
+    op = st.tuples(st.booleans(), st.integers(0, 2), st.integers(0, 3))
+    return st.builds(make, st.lists(op, max_size=6), st.integers(0, 99), st.just([]))
+
+
+@settings(deadline=None, derandomize=True, max_examples=60)
+@given(memories(), memories(), memories())
+def test_copies_merge_in_any_order_and_any_number_of_times(one: Memory, two: Memory, three: Memory) -> None:
+    assert one.merge(two) == two.merge(one)
+    assert one.merge(two).merge(three) == one.merge(two.merge(three))
+    assert one.merge(two).merge(two) == one.merge(two)
+
+
+def test_a_row_is_believed_by_itself_or_not_at_all() -> None:
+    rows = rows_of(HELD, FRONT)
+    assert read(rows, FRONT, "a") == (HELD, [])
+    for place, row in enumerate(rows):
+        for byte in range(len(row.data)):
+            bad = bytearray(row.data)
+            bad[byte] ^= 1 << byte % 8
+            spoilt = [*rows[:place], row._replace(data=bytes(bad)), *rows[place + 1 :]]
+            memory, doubts = read(spoilt, FRONT, "a")
+            assert doubts == [Doubt(f"a: {row.kind}", "sum")] and memory.merge(HELD) == HELD
+    for odd, why in (
+        ((), "unreadable"), ((None,) * 5, "no data"), (("holds", 1, FRONT, "text", 0), "no data"),
+        (sealed("holds", FRONT, b"x", FORM + 1), "newer"),
+        (sealed("holds", "theirs/n1", b"x"), "another front"),
+        (sealed("new", FRONT, b"x"), "unknown"), (sealed("boot", FRONT, b"\xc1"), "unreadable"),
+        (sealed("holds", FRONT, b"\xff" * 99), "unreadable"), (("holds", "x", FRONT, b"x", 1), "sum"),
+    ):  # fmt: skip
+        memory, [doubt] = read([odd, *rows], FRONT, "a")
+        assert memory == HELD and why in doubt.why
+
+
+def test_a_boot_number_only_rises_whatever_the_clock_does() -> None:
+    assert next_boot(0, 1000.5) == 1_000_500
+    assert next_boot(1_000_500, 1000.0 - 3600) == 1_000_501  # an hour back
+    assert next_boot(1_000_500, 1000.0 + 3600) == 4_600_000
+
+
+# Files
+
+
+def damage(path: Path) -> dict[str, Callable[[], object]]:
+    whole, dice = path.read_bytes(), random.Random(3)
+
+    def flip(place: int) -> bytes:
+        return whole[:place] + bytes([whole[place] ^ 0x10]) + whole[place + 1 :]
+
+    newer = f"PRAGMA user_version = {FORM + 1}"
+    out: dict[str, Callable[[], object]] = {
+        "empty": lambda: path.write_bytes(b""), "gone": path.unlink,
+        "text": lambda: path.write_text("not a file\n" * 99),
+        "newer": lambda: sqlite3.connect(path).execute(newer).connection.close(),
+        "foreign": lambda: path.write_bytes(whole[:68] + b"abcd" + whole[72:]),
+    }  # fmt: skip
+    for cut in (*range(0, len(whole), 4096), *(dice.randrange(len(whole)) for _ in range(20))):
+        out[f"cut {cut}"] = lambda cut=cut: path.write_bytes(whole[:cut])  # type: ignore[misc]
+    for place in (dice.randrange(len(whole)) for _ in range(60)):
+        out[f"flip {place}"] = lambda place=place: path.write_bytes(flip(place))  # type: ignore[misc]
+    return out
+
+
+def test_no_damage_to_one_file_loses_a_hold_or_ends_a_start(tmp_path: Path) -> None:
+    Disk(tmp_path / "good", FRONT).save(HELD)
+    for name in NAMES:
+        for what in damage(tmp_path / "good" / name):
+            folder = tmp_path / "spoilt"
+            shutil.copytree(tmp_path / "good", folder)
+            damage(folder / name)[what]()
+            disk = Disk(folder, FRONT)
+            memory, doubts = disk.load()
+            assert memory == HELD, what
+            if what in ("text", "newer", "foreign") or what.startswith("cut 4096"):
+                assert "put aside as" in doubts[0].why and list(folder.glob("*.doubtful-1")), what
+            assert disk.save(memory) == [], what
+            assert disk.load() == (HELD, []), what
+            shutil.rmtree(folder)
+
+
+def test_an_old_copy_put_back_takes_nothing_away_and_anothers_files_are_not_believed(tmp_path: Path) -> None:
+    disk = Disk(tmp_path / "disk", FRONT)
+    disk.save(HELD)
+    shutil.copytree(tmp_path / "disk", tmp_path / "old")
+    later = Memory(HELD.holds.release("s-003").hold(Id("n1", 7), "s-004"), 9, HELD.peers)
+    disk.save(later)
+    shutil.copy(tmp_path / "old" / NAMES[0], tmp_path / "disk" / NAMES[0])
+    assert disk.load()[0] == later  # the release that the old copy lacks stands too
+    shutil.copy(tmp_path / "old" / NAMES[1], tmp_path / "disk" / NAMES[1])
+    assert disk.load()[0] == HELD  # both put back: a hold too many at the most, and peers know better
+    other = Disk(tmp_path / "disk", "ours/n2")
+    memory, doubts = other.load()
+    assert memory == Memory() and sum("another front" in doubt.why for doubt in doubts) >= 2
+    assert other.save(Memory(boot=1)) == [] and other.load() == (Memory(boot=1), [])
+
+
+def test_a_disk_that_cannot_be_written_is_named_and_costs_nothing_else(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    assert len(Disk(tmp_path / "file", FRONT).save(HELD)) == 2
+    assert Disk(tmp_path / "file" / "below", FRONT).load() == (Memory(), [])
+    disk = Disk(tmp_path / "disk", FRONT)
+    disk.save(HELD)
+    with sqlite3.connect(tmp_path / "disk" / NAMES[0], isolation_level=None) as holder:
+        holder.execute("BEGIN EXCLUSIVE")  # another process holds one file
+        memory, doubts = disk.load()
+    holder.close()
+    assert memory == HELD and not list((tmp_path / "disk").glob("*.doubtful*"))
+    assert [doubt.where for doubt in doubts] in ([], [NAMES[0]])
+
+
+# The thread
+
+
+class SlowDisk:
+    def __init__(self) -> None:
+        self.go, self.failing, self.saved = threading.Event(), 0, list[Memory]()
+
+    def load(self) -> tuple[Memory, list[Doubt]]:
+        return HELD, []
+
+    def save(self, memory: Memory) -> list[Doubt]:
+        assert self.go.wait(10)
+        self.saved.append(memory)
+        return [Doubt(f"file {number}", "full") for number in range(self.failing)]
+
+
+def until(what: Callable[[], bool]) -> None:
+    end = time.monotonic() + 10
+    while not what():
+        assert time.monotonic() < end
+        time.sleep(0.005)
+
+
+def test_nobody_waits_for_a_slow_disk_and_a_failing_one_is_told_once() -> None:
+    disk, first, told = SlowDisk(), list[Recalled](), list[list[Doubt]]()
+    writer = Writer(disk, lambda: 0.0, first.append, told.append)
+    writer.start()
+    began = time.monotonic()
+    numbers = [writer.write(Memory(boot=boot)) for boot in range(100, 150)]
+    assert time.monotonic() - began < 0.5 and not first and not writer.keeps(numbers[0])
+    disk.go.set()
+    until(lambda: writer.keeps(numbers[-1]))
+    assert first[0].memory.boot == HELD.boot + 1 and first[0].found
+    assert [one.boot for one in disk.saved] == [HELD.boot + 1, 149]  # the newest of all that waited
+    disk.failing = 1
+    number = writer.write(Memory(boot=200))
+    until(lambda: writer.keeps(number))  # one of two has it
+    disk.failing = 2
+    number = writer.write(Memory(boot=201))
+    until(lambda: len(told) == 2)
+    assert not writer.keeps(number)
+    disk.failing = 0
+    until(lambda: writer.keeps(number))  # tried again by itself
+    until(lambda: told[-1] == [])
+    assert [len(doubts) for doubts in told] == [1, 2, 0]
+    writer.stop()
+    assert not writer.thread.is_alive()
+
+
+WRITES = """
+import sys
+from pathlib import Path
+from cleatyoke.durable.records import Memory
+from cleatyoke.durable.store import Disk
+from cleatyoke.fleet.replicas import Holds
+from cleatyoke.fleet.wire import Id
+disk = Disk(Path(sys.argv[1]), "ours/n1")
+memory, doubts = disk.load()
+assert not doubts, doubts
+for number in range(10000):
+    memory = Memory(memory.holds.hold(Id("n1", memory.boot), f"s-{len(memory.holds.held)}"), memory.boot + 1)
+    assert not disk.save(memory)
+    print(len(memory.holds.held), memory.boot, flush=True)
+"""
+
+
+def test_what_was_told_as_kept_outlives_ten_kills_in_a_row(tmp_path: Path) -> None:
+    dice, boxes, boot = random.Random(1), 0, 0
+    for _ in range(10):
+        words = [sys.executable, "-c", WRITES, str(tmp_path)]
+        with subprocess.Popen(words, cwd=ROOT, stdout=subprocess.PIPE, text=True) as process:
+            assert process.stdout
+            for _ in range(dice.randint(1, 5)):
+                boxes, boot = map(int, process.stdout.readline().split())
+            time.sleep(dice.uniform(0, 0.01))
+            process.kill()
+            for line in process.stdout:  # kept too, though the reader came late
+                if line.endswith("\n"):
+                    boxes, boot = map(int, line.split())
+        memory, doubts = Disk(tmp_path, FRONT).load()
+        assert doubts == [] and len(memory.holds.held) >= boxes and memory.boot >= boot
+
+
+# The command
+
+
+def test_the_command_explains_what_a_start_would_believe(tmp_path: Path) -> None:
+    Disk(tmp_path, FRONT).save(HELD)
+    shown = CliRunner().invoke(main, ["check", str(tmp_path)])
+    assert shown.exit_code == 0 and "s-003: placed by n1 (boot 7, number 1)" in shown.output
+    (tmp_path / NAMES[1]).write_text("x" * 5000)
+    before = sorted(path.name for path in tmp_path.iterdir())
+    shown = CliRunner().invoke(main, ["check", str(tmp_path)])
+    assert shown.exit_code == 1 and "not believed" in shown.output and "s-003" in shown.output
+    assert sorted(path.name for path in tmp_path.iterdir()) == before and rows_in(tmp_path / NAMES[0])
+    other = CliRunner().invoke(main, ["check", str(tmp_path), "--front", "ours/n9"])
+    assert other.exit_code == 1 and "of another front" in other.output
+
+
+def test_it_is_not_imported_while_it_is_off() -> None:
+    ours = ("cleatyoke.durable", "sqlite3", "click", "cleatyoke.net.startup", "cleatyoke.net.recall")
+    look = f"import sys, cleatyoke.__main__; sys.exit(any(n.startswith({ours}) for n in sys.modules))"
+    assert subprocess.run([sys.executable, "-c", look], cwd=ROOT).returncode == 0
+
+
+@pytest.mark.parametrize("folder", ['"relative"', "7"])
+def test_a_folder_that_cannot_be_one_is_named(folder: str, tmp_path: Path) -> None:
+    from cleatyoke.config import BadConfig, read_fronts
+
+    path = tmp_path / "fronts.toml"
+    path.write_text('[fleet]\nenabled = true\ndeployment = "d"\nlisten = "127.0.0.1:7"\nseeds = []\n'
+                    f"durable = {folder}\n")  # fmt: skip
+    with pytest.raises(BadConfig, match=r"^fronts.toml: fleet.durable:"):
+        read_fronts(path, {}, {})
--- /dev/null
+++ b/tests/test_startup.py
@@ -0,0 +1,286 @@
+"""The start of a front after whatever ended the last one: its stages by themselves, and processes that lose
+their power, are killed at every stage, and come back beside peers, without any, and with a disk that does
+not answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import unittest
+import unittest.mock
+from concurrent.futures import Future
+from pathlib import Path
+from typing import Any, ClassVar
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cleatyoke.config import FLEET_TIMES, FleetPeers, read_address
+from cleatyoke.durable.records import Doubt, Memory
+from cleatyoke.durable.store import Disk
+from cleatyoke.faults import Faults
+from cleatyoke.figures import Figures
+from cleatyoke.fleet.recovery import BOUNDS, ORDER, Evidence, Recovery, Stage
+from cleatyoke.fleet.replicas import Holds
+from cleatyoke.fleet.wire import Id
+from cleatyoke.net.fleet import FleetView
+from cleatyoke.net.startup import Startup
+from cleatyoke.standin.play import Report
+from cleatyoke.standin.scenario import read_scenario, settings_of
+from cleatyoke.standin.search import play_values, pool
+
+ROOT = Path(__file__).resolve().parent.parent
+Looks = list[tuple[float, list[Stage]]]  # seconds since the last one, and the evidence that came
+
+
+def faults(make: type[Recovery], looks: Looks) -> list[str]:
+    """What a play of these looks breaks. The lease before ends at 2.05."""
+    recovery, now, out, came = make(0.0, 2.05), 0.0, list[str](), set[Stage]()
+    for after, events in looks:
+        now += after
+        came |= set(events)
+        before = recovery.since
+        for one in recovery.step(now, [Evidence(stage, "word") for stage in events]):
+            if one.stage is Stage.LENT and now < 2.05:
+                out.append("lease")
+            bound = BOUNDS.get(one.stage, 0.0)
+            if one.stage not in came and one.stage in BOUNDS and now < before + bound:
+                out.append("early")
+        stages = [one.stage for one in recovery.passed]
+        if stages != ORDER[: len(stages)]:
+            out.append("order")
+        if recovery.door_open() != (Stage.LIST in stages):
+            out.append("door")
+        if recovery.stage is not Stage.OPEN and now >= recovery.ends_at():
+            out.append("bound")
+    return out
+
+
+looks = st.lists(
+    st.tuples(st.floats(0, 1.5), st.lists(st.sampled_from(ORDER), max_size=2)), min_size=1, max_size=12
+)
+
+
+@settings(deadline=None, derandomize=True, max_examples=300)
+@given(looks)
+def test_stages_pass_in_order_by_evidence_or_their_bound_and_a_lease_by_time_alone(looks: Looks) -> None:
+    assert faults(Recovery, looks) == []
+
+
+class ByTimeAlone(Recovery):
+    """Waits for nothing but a while."""
+
+    def step(self, now: float, events: Any = ()) -> Any:
+        out = super().step(now, [Evidence(stage, "a while") for stage in BOUNDS] if now > 0.4 else ())
+        return out
+
+
+class TrustsItsDisk(Recovery):
+    """A word from the disk says that what was lent is over."""
+
+    def step(self, now: float, events: Any = ()) -> Any:
+        if any(event.stage is Stage.DISK for event in events):
+            self.lent_until = now
+        return super().step(now, events)
+
+
+def test_wrong_variants_are_caught() -> None:
+    everything = list(Stage)
+    assert "early" in faults(ByTimeAlone, [(0.45, [])])
+    assert "lease" in faults(TrustsItsDisk, [(0.1, everything), (0.1, [])])
+    assert faults(Recovery, [(0.1, everything), (0.1, []), (1.9, [])]) == []
+
+
+def test_what_a_start_waits_for_is_told() -> None:
+    recovery = Recovery(10.0, 12.05)
+    recovery.step(10.1, [Evidence(Stage.DISK, "found"), Evidence(Stage.LIST, "an old list")])
+    assert recovery.lines(10.4) == [
+        "recovery.stage peers", "recovery.passed disk by=found waited=0.100", "recovery.waits peers for=0.700"
+    ]  # fmt: skip
+    assert [one.what for one in recovery.step(11.2)] == ["bound", "an old list"]
+    assert recovery.door_open()
+
+
+class LossCase(unittest.TestCase):
+    """Eight processes that lose their power together, and such with a part of the mend taken out."""
+
+    plays: ClassVar[dict[str, Future[Report]]]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        import shutil
+        import tomllib
+
+        values = tomllib.loads((ROOT / "tests" / "scenarios" / "power-loss.toml").read_text())
+        forgetful = Path(tempfile.mkdtemp())
+        cls.addClassCleanup(shutil.rmtree, forgetful)
+        shutil.copytree(ROOT / "cleatyoke", forgetful / "cleatyoke")
+        part = forgetful / "cleatyoke" / "net" / "fleet.py"
+        right = "self.copies.holds = self.copies.holds.merge(memory.holds)"
+        text = part.read_text()
+        assert text.count(right) == 1
+        part.write_text(text.replace(right, "pass"))
+        workers = pool()
+        cls.addClassCleanup(workers.shutdown)
+        small = {
+            **values, "fleet": {"fronts": 3, "boxes": 2, "seconds": 7}, "load": {"rate": 60, "hosts": 3},
+            "trouble": [{"kind": "hold", "at": 0.5, "of": [0], "box": 1, "lasts_s": 6},
+                        {"kind": "powercut", "at": 2, "lasts_s": 1}],
+        }  # fmt: skip
+        cls.plays = {
+            "whole": workers.submit(play_values, "whole", values),
+            "forgetful": workers.submit(play_values, "forgetful", small, forgetful),
+            "small": workers.submit(play_values, "small", small),
+        }
+
+    def test_every_rule_is_kept_through_two_losses_of_power(self) -> None:
+        for name in ("whole", "small"):
+            report = self.plays[name].result()
+            with self.subTest(name):
+                self.assertEqual(report.broken, [], "\n".join(report.lines()))
+                self.assertEqual(report.faults, [])
+        report = self.plays["whole"].result()
+        self.assertEqual(report.log["recovery_stage"], 4 * report.starts)
+        self.assertGreater(report.served, 0.4)
+
+    def test_a_front_that_does_not_read_its_disk_is_caught(self) -> None:
+        broken = self.plays["forgetful"].result().broken
+        self.assertTrue(any(line.startswith("hold:") for line in broken), broken)
+
+
+class ProcessCase(unittest.IsolatedAsyncioTestCase):
+    """One front by itself."""
+
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        scenario = read_scenario(ROOT / "tests" / "scenarios" / "roll.toml")
+        self.ports = [self.free() for _ in range(4)]
+        listen, discovery, ops, peers = self.ports
+        box = {"instanceId": "s-003", "hostPort": "127.0.0.1:9", "zone": "basement", "machineType": "m1",
+               "cell": 0, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0}  # fmt: skip
+        config = {
+            "name": "n1", "listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}", "seed": "1",
+            "settings": settings_of(scenario), "ops": f"127.0.0.1:{ops}",
+            "known": {"generation": 1, "reset": True, "instances": [box]},
+        }  # fmt: skip
+        (self.folder / "config.json").write_text(json.dumps(config))
+        self.durable = self.folder / "durable"
+        self.fronts(f'["127.0.0.1:{peers}"]')
+
+    @staticmethod
+    def free() -> int:
+        with socket.socket() as one:
+            one.bind(("127.0.0.1", 0))
+            return int(one.getsockname()[1])
+
+    def fronts(self, seeds: str) -> None:
+        (self.folder / "fronts.toml").write_text(
+            f'[fleet]\nenabled = true\ndeployment = "ours"\nlisten = "127.0.0.1:{self.ports[3]}"\n'
+            f'seeds = {seeds}\ndurable = "{self.durable}"\n'
+        )
+
+    @contextlib.asynccontextmanager
+    async def process(self) -> Any:
+        words = (sys.executable, "-m", "cleatyoke", "--fronts", str(self.folder / "fronts.toml"))
+        process = await asyncio.create_subprocess_exec(
+            *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder)},
+        )  # fmt: skip
+        try:
+            yield process
+        finally:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+
+    async def log(self, process: asyncio.subprocess.Process, until: str) -> str:
+        assert process.stderr
+        text = ""
+        async with asyncio.timeout(10):
+            while until not in text and (line := await process.stderr.readline()):
+                text += line.decode()
+        return text
+
+    async def call(self, line: str) -> str:
+        async with asyncio.timeout(5):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[2])
+            writer.write(f"{line}\n".encode())
+            answer = (await reader.read()).decode()
+            writer.close()
+        return answer
+
+    async def test_a_front_alone_serves_in_the_end_and_tells_what_it_waits_for(self) -> None:
+        self.fronts('["127.0.0.1:9"]')  # nobody is there
+        async with self.process() as process:
+            text = await self.log(process, "event='ready'")
+            self.assertIn("passed='disk' by='nothing found'", text)
+            self.assertIn("passed='peers' by='bound'", text)
+            self.assertIn("recovery.stage lent", await self.call("show-recovery"))
+            await self.log(process, "passed='lent' by='time'")
+            shown = await self.call("show-recovery")
+            self.assertIn("recovery.stage open", shown)
+            self.assertIn("replica.holds entries=0", await self.call("show-replica"))
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(await asyncio.wait_for(process.wait(), 10), 0)
+        self.assertGreater(Disk(self.durable, "ours/n1").load()[0].boot, 0)
+
+    async def test_killed_at_any_stage_ten_times_in_a_row_it_goes_on_from_what_it_kept(self) -> None:
+        held = Memory(Holds().hold(Id("n1", 5), "s-003"), 1 << 52)  # far ahead of any clock
+        disk = Disk(self.durable, "ours/n1")
+        self.assertEqual(disk.save(held), [])
+        dice, boots = random.Random(4), [held.boot]
+        for number in range(10):
+            async with self.process() as process:
+                passed = ("disk", "peers", "list", "ready")[number % 4]
+                text = await self.log(process, f"passed='{passed}'" if passed != "ready" else "event='ready'")
+                self.assertIn("passed='disk' by='found'", text)
+                await asyncio.sleep(dice.uniform(0, 0.05))
+            memory, doubts = disk.load()
+            self.assertEqual((doubts, memory.holds), ([], held.holds))
+            boots.append(memory.boot)
+        self.assertEqual(boots, list(range(held.boot, held.boot + 11)))
+        async with self.process() as process:
+            await self.log(process, "event='ready'")
+            self.assertIn(f"n1 {boots[-1] + 1} ", await self.call("show-fleet"))
+            self.assertIn("replica.hold s-003", await self.call("show-replica"))
+
+    async def test_a_disk_that_does_not_answer_is_waited_for_shortly_and_counts_once_it_does(self) -> None:
+        go = threading.Event()
+        remembered = Memory(Holds().hold(Id("n1", 5), "s-003"), 1 << 52)
+
+        class Late(Disk):
+            def load(self) -> tuple[Memory, list[Doubt]]:
+                go.wait(10)
+                return remembered, []
+
+        listen = read_address(f"127.0.0.1:{self.ports[3]}", "listen")
+        peers = FleetPeers("ours", listen, listen, [], 0, FLEET_TIMES, durable=self.durable)
+        faults, startup = Faults(Figures()), Startup()
+        with unittest.mock.patch("cleatyoke.net.recall.Disk", Late):
+            recall = await startup.recall(peers, "n1", faults)
+        assert recall
+        self.assertEqual([one.what for one in startup.recovery.passed], ["bound"])
+        view = FleetView(peers, "n1", 1, 1, faults, recall.last.boot)
+        recall.serve(view)
+        changed: list[frozenset[str]] = []
+        view.copies.changed = lambda held, released: changed.append(held)
+        await view.start()
+        await startup.meet(view)
+        await startup.hear_of_boxes(True, asyncio.Event())
+        self.assertTrue(startup.recovery.door_open())
+        go.set()
+        async with asyncio.timeout(5):
+            while not recall.first.done() or not view.on_disk():
+                await asyncio.sleep(0.01)
+        self.assertEqual((changed, view.members.id.boot), ([frozenset({"s-003"})], (1 << 52) + 2))
+        view.stop()
+        self.assertEqual(faults.figures.faults, 0)
+        self.assertEqual(Disk(self.durable, "ours/n1").load()[0].boot, (1 << 52) + 2)
