Tell change from chance in what is asked for, and ask for more where a loan is renewed

A look at who holds what: fronts with two requests a second borrowed for single bursts what the busy one lacked, as a need was the mean of two spans of 0.25 s; and a loan that began small was renewed small.

--- a/cleatyoke/emulate/measure.py
+++ b/cleatyoke/emulate/measure.py
@@ -143,7 +143,7 @@
 def plot(rows: list[Row], out: Path) -> None:
     matplotlib = importlib.import_module("matplotlib")
     matplotlib.use("svg")
-    matplotlib.rcParams["svg.hashsalt"] = "fleet"
+    matplotlib.rcParams.update({"svg.hashsalt": "fleet", "svg.fonttype": "none"})
     pyplot = importlib.import_module("matplotlib.pyplot")
     for what, figure, title in PLOTS:
         picture, axes = pyplot.subplots(figsize=(6, 4))
@@ -158,7 +158,8 @@
                 axes.plot(*zip(*points), marker="o", label=kind)
         axes.set(xscale="log", xlabel="members", title=title)
         axes.set(**{"yscale": "log"} if what == "load" else {"ylim": (0, None)})
-        axes.legend()
+        if axes.lines:
+            axes.legend()
         name = f"fleet-view-{what}-{figure.split()[0].replace('/', '-')}.svg"
         picture.savefig(out / name, metadata={"Date": None})
         pyplot.close(picture)
--- a/cleatyoke/fleet/rights.py
+++ b/cleatyoke/fleet/rights.py
@@ -34,7 +34,7 @@
     lease: float = 2.0  # seconds
     drift: float = 0.001  # of two monotonic clocks against each other, as a part
     slack: float = 0.05  # seconds more for the lender, less for the borrower
-    ahead: float = 1.25  # times what is needed now: what is borrowed and kept, as need grows
+    ahead: float = 1.1  # times what is needed now: what is borrowed and kept, as need grows
     swing: int = 50  # parts by which need must pass what is there before more is asked for, and back
     patience: float = 0.3  # seconds until another lender is asked
     scrape: int = 20  # parts under which nothing is lent
@@ -288,7 +288,9 @@
                 account.changed()
                 out.append(self.give_back(resource, lender, debt))
             elif held and not debt.asked and now >= debt.end - terms.lease / 2:
-                out.append(self.ask(now, resource, lender, debt, held))
+                more = max(0, min(need - have, HOME - KEPT - held))  # it may have more to lend by now
+                out.append(self.ask(now, resource, lender, debt, held + more))
+                have += more  # as far as is known, so that not all are asked for the same
         under_way = sum(debt.asked[2] for debt in account.debts.values() if debt.asked and not debt.held(now))
         lack = need - have - under_way if self.part >= 1.0 else 0
         if lack > terms.swing or (lack > 0 and account.need > have):
--- a/cleatyoke/standin/clients.py
+++ b/cleatyoke/standin/clients.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from cleatyoke.api import Repeat
+from cleatyoke.emulate.worth import Wish
 from cleatyoke.standin.judge import Asked, Form, Judge
 from cleatyoke.standin.load import Drawn, requests
 from cleatyoke.standin.scenario import Scenario
@@ -53,6 +54,7 @@
         self.unsent = 0  # their front took no connection: it was down
         self.unread = 0  # a connection ended as they asked, and so they asked once more
         self.tasks: set[asyncio.Task[None]] = set()
+        self.wishes: list[Wish] = []  # what came of each request, over its tries
 
     async def run(self) -> None:
         began = self.clock()
@@ -65,13 +67,15 @@
 
     async def ask(self, drawn: Drawn) -> None:
         """A request, with the tries that its client makes."""
-        load = self.scenario.load
+        load, first, served = self.scenario.load, self.clock(), None
         for number in range(1 + load.retries):
             asked = await self.once(drawn, drawn.trace_of(number), number > 0)
+            served = asked.answered if asked.status == 200 else None
             if asked.status not in (None, 429, 503) or (asked.status is None and not asked.excused):
-                return
+                break
             if number < load.retries:
                 await asyncio.sleep(max(asked.wait, load.retry_s))
+        self.wishes.append(Wish(first, drawn.volume, drawn.kind, drawn.units, served))
 
     async def once(self, drawn: Drawn, trace: str, again: bool) -> Asked:
         """One try, from its connection to the one answer."""
--- a/cleatyoke/standin/play.py
+++ b/cleatyoke/standin/play.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from cleatyoke.emulate.network import Fault
+from cleatyoke.emulate.worth import Wish
 from cleatyoke.standin.agent import Agent, Registry
 from cleatyoke.standin.box import Box
 from cleatyoke.standin.clients import Clients, Door
@@ -66,6 +67,8 @@
     broken: list[str] = field(default_factory=list)
     log: Counter[str] = field(default_factory=Counter)  # event: lines, over all fronts
     faults: list[str] = field(default_factory=list)  # the log's lines of faults that nothing foresaw
+    began: float = 0.0  # of the load, on the clock of ...
+    wishes: list[Wish] = field(default_factory=list)  # ... what clients wanted, and when they got it
     held: list[str] = field(default_factory=list)  # what calls to hold and release boxes were told
     views: list[tuple[str, float | None]] = field(default_factory=list)  # trouble; seconds to one view after
 
@@ -458,7 +461,7 @@
             await asyncio.gather(*(front.start() for front in self.fronts))
             clients = Clients(scenario, self.judge, [front.door for front in self.fronts], self.clock)
             clients.cells = self.cells
-            began = self.clock()
+            began = self.report.began = self.clock()
             watcher = asyncio.create_task(self.watch_views()) if self.relay else None
             await asyncio.gather(clients.run(), *(self.trouble(one) for one in scenario.troubles))
             if watcher:
@@ -481,6 +484,7 @@
 
     def sum_up(self, clients: Clients) -> Report:
         report, asked = self.report, self.judge.asked
+        report.wishes = clients.wishes
         report.requests = len(asked)
         for one in asked.values():
             name = "unsent" if one.excused else "none" if one.status is None else str(one.status)
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -14,6 +14,7 @@
 
 from cleatyoke.emulate.market import RESOURCE, Market
 from cleatyoke.emulate.network import Network
+from cleatyoke.fleet.meters import SPAN, Meters
 from cleatyoke.fleet.rights import KEPT, Came, Need, Part, Peers, Post, Rights, Terms
 from cleatyoke.fleet.wire import HOME, Grant, Id, Want
 
@@ -250,3 +251,36 @@
     one.step(0.0, [Peers((b,)), Need({RESOURCE: 0.0}), Came(b, Want(RESOURCE, 1, 700))])
     one.step(0.1, [Peers(())])  # it may be at work beyond a cut
     assert one.usable(RESOURCE, 0.1) == left
+
+
+def test_what_is_asked_for_by_chance_moves_a_need_less_than_a_change_does() -> None:
+    dice, meters, needs = random.Random(2), Meters[int](), list[float]()
+    at, now = 0.0, 0.0
+    for _ in range(400):  # two requests a second at a home of five units: 400 parts
+        now += SPAN
+        while at < now:
+            meters.asked(at, 1, 1.0, 5.0)
+            at += dice.expovariate(2.0)
+        needs.append(meters.needs(now)[1])
+    later = sorted(needs[40:])
+    assert 350 < sum(later) / len(later) < 450
+    assert later[len(later) // 10] > 100 and later[-len(later) // 10] < 800  # plain halves: 25 and 902
+    for _ in range(8):  # then 28 a second: 5,600 parts
+        now += SPAN
+        for _ in range(7):
+            meters.asked(now, 1, 1.0, 5.0)
+        need = meters.needs(now)[1]
+    assert need > 5000
+    for _ in range(8):
+        now += SPAN
+        need = meters.needs(now)[1]
+    assert need < 500
+
+
+def test_a_loan_that_is_renewed_is_asked_for_more_where_more_is_lacking() -> None:
+    rights, b = Rights(-100.0, random.Random(1)), Id("b", 1)
+    [post] = rights.step(0.0, [Need({RESOURCE: 1600.0}), Peers((b,))])
+    assert isinstance(post.message, Want)
+    rights.step(0.0, [Came(b, Grant(RESOURCE, post.message.number, 200, 0))])
+    [post] = rights.step(1.2, [Need({RESOURCE: 1600.0})])
+    assert post.message == Want(RESOURCE, 2, HOME - KEPT)
