--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,7 +12,7 @@
 
 from cleatyoke.emulate.fleet import Fleet
 from cleatyoke.emulate.network import Network
-from cleatyoke.emulate.script import draw, play, shrink
+from cleatyoke.emulate.script import FAULTS, draw, play, shrink
 from cleatyoke.fleet import wire
 from cleatyoke.fleet.conclude import Known, conclude
 from cleatyoke.fleet.members import Asked, Change, Heard, Leave, Members, Probe, Reply, Send, Timing, Told
@@ -343,6 +343,20 @@
         assert play(script) == [], script
 
 
+fronts = st.lists(st.integers(0, SIZE - 1), min_size=1, max_size=4, unique=True)
+steps = st.lists(st.tuples(st.floats(0, 25).map(lambda at: round(at, 2)), st.sampled_from(FAULTS), fronts),
+                 max_size=8)  # fmt: skip
+
+
+@settings(deadline=None, derandomize=True, max_examples=15)
+@given(steps, st.sampled_from((0.0, 0.15, 0.3)), st.integers(0, 99))
+def test_no_order_of_faults_breaks_a_rule(
+    steps: list[tuple[float, str, list[int]]], loss: float, seed: int
+) -> None:
+    told = sorted(([at, what, of] for at, what, of in steps), key=lambda step: step[0])
+    assert play({"size": SIZE, "seed": seed, "loss": loss, "steps": told}) == []
+
+
 def test_a_script_that_breaks_a_rule_is_made_shorter() -> None:
     steps = [
         [1.0, "kill", [3]], [2.0, "leave", [1]], [3.0, "stop", [2]], [5.0, "start", [1]], [6.0, "heal", []]
