Tell fronts of a fleet whose settings differ, by a sum on each front's own rumour

A sum of the settings, without what is a process's own, rides on the rumour that only its life sets (five bytes), and raises its count as it changes; the log says fleet_settings_differ once and names the fronts, show-replica too. Ruled out: a word in the copies, which travel whole by stream and would be exchanged by everybody at every start. The form of messages is 2 now.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -200,6 +200,7 @@
             if peers.limits or peers.cold:
                 boxes = directory.boxes
                 view.lend(self.core, lambda node: boxes[node].name if node in boxes else None)
+            view.say(config.settings)
             await view.start()
         except (ImportError, OSError) as error:
             raise BadConfig(f"fleet: {error}") from error
@@ -262,6 +263,8 @@
         if taken.retired is not None:
             self.core.tell(api.Retuned(settings, taken.retired))
             self.life.retime(self.notice())
+            if self.fleet:
+                self.fleet.say(settings)
         if taken.moved:
             self.discovery.move(self.config.discovery)
 
--- a/cleatyoke/emulate/view.py
+++ b/cleatyoke/emulate/view.py
@@ -45,7 +45,7 @@
         """As by SIGKILL: no word, and nothing of it is left."""
         if self.ether.views.get(self.address) is self:
             del self.ether.views[self.address]
-        for bell in (self.bell, self.market.bell):
+        for bell in (self.bell, self.market.bell, self.alike.bell):
             if bell:
                 bell.cancel()
 
--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -246,7 +246,7 @@
         self.seeds = list(seeds)
         self.dice, self.timing = dice, timing or Timing()
         self.id = Id(name, boot)
-        self.count = 0
+        self.count = self.settings = 0
         self.lives: dict[Id, Life] = {}  # of others
         self.present: dict[Id, None] = {}  # of these, those that are alive or suspected ...
         self.doubted: dict[Id, Life] = {}  # ... those that are suspected ...
@@ -416,6 +416,19 @@
         self.queue[self.id] = 0
         self.next["gossip"] = self.now
 
+    def goes_by(self, settings: int) -> None:
+        """This life's settings, as a sum; they themselves never travel."""
+        if settings != self.settings:
+            self.settings = settings
+            self.count += 1
+            self.queue[self.id] = 0
+            self.next["gossip"] = self.now
+
+    def unlike(self) -> list[str]:
+        """Fronts that go by other settings than this one."""
+        known = [self.lives[id].rumour for id in list(self.present) if id in self.lives]
+        return sorted({one.id.name for one in known if one.settings not in (0, self.settings)})
+
     # Probes
 
     def there(self) -> list[Id]:
@@ -739,7 +752,7 @@
 
     def me(self) -> Rumour:
         state = State.LEFT if self.leaving else State.ALIVE
-        return Rumour(self.id, self.address, state, self.count, self.alone)
+        return Rumour(self.id, self.address, state, self.count, self.alone, "", self.settings)
 
     def rumour_of(self, id: Id) -> Rumour:
         return self.me() if id == self.id else self.lives[id].rumour
--- a/cleatyoke/fleet/wire.py
+++ b/cleatyoke/fleet/wire.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-VERSION = 1
+VERSION = 2
 MOST_DATAGRAM = 1200  # bytes
 MOST_STREAM = 1 << 20  # bytes of a whole view: some ten thousand lives
 HOME = 1000  # parts of what all share in which each front is at home
@@ -51,6 +51,7 @@
     count: Count
     alone: bool = False  # it holds the address of its name, which no earlier life can then
     by: Annotated[str, msgspec.Meta(max_length=64)] = ""  # who accuses it, where it is suspected
+    settings: Count = 0  # a sum of those that it goes by, as it says itself; 0: not said, or by somebody else
 
 
 class Ping(msgspec.Struct, array_like=True, frozen=True, tag="ping", forbid_unknown_fields=True):
--- a/cleatyoke/net/fleet.py
+++ b/cleatyoke/net/fleet.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import errno
 import random
 import time
+import zlib
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -59,6 +61,7 @@
 COPIES = "cleatyoke-fleet-copies"  # file in $TMPDIR
 TRADE = 0.05  # seconds between looks at what is needed of limits
 HINTS = 8  # of the peers that the disk remembers, that are asked beside the seeds
+ALIKE = 1.0  # seconds between looks whether all go by the same settings
 TRIES = 8  # at a port that both sockets can have
 log = structlog.get_logger()
 
@@ -98,6 +101,8 @@
         )  # fmt: skip
         self.copies = self.members.store = Sharing(lambda: self.members.id)
         self.rights = Rights(self.loop.time(), random.Random(f"rights:{seed}:{name}:{boot}"))
+        self.differ: list[str] = []  # fronts of other settings, as the log was told
+        self.alike = Beat(faults, "fleet_settings", ALIKE, self.look_at_settings)
         self.recall: Recall | None = None
         self.answered = asyncio.Event()  # a peer's whole view has come
         self.core: Core | None = None
@@ -130,6 +135,7 @@
             self.members.address, self.members.alone = told(Address(listen.host, port)), False
             log.info("fleet_beside_another", address=self.members.address)
             self.claims.start()
+        self.alike.start()
         self.step()
 
     async def bind(self, port: int) -> tuple[asyncio.DatagramTransport, asyncio.Server]:
@@ -176,7 +182,7 @@
             self.step(Leave())
         if self.recall:
             self.recall.stop()
-        for bell in (self.bell, self.claims, self.market):
+        for bell in (self.bell, self.claims, self.market, self.alike):
             if bell:
                 bell.stop() if isinstance(bell, Beat) else bell.cancel()
         for task in (*self.streams, *([self.claiming] if self.claiming else [])):
@@ -248,6 +254,23 @@
                 return having + 1, max(self.conclusion().count, len(there) + 1)
             time.sleep(0.01)
 
+    def say(self, settings: api.Settings) -> None:
+        """Tell the others which settings this front goes by, that fronts of a fleet notice where they differ.
+        What is a process's own is left out."""
+        shared = dataclasses.replace(
+            settings, seed=0, quiet_since=None, limit_share=1.0, taken_over=False
+        )
+        self.members.goes_by(zlib.crc32(repr(shared).encode()))
+
+    def look_at_settings(self) -> None:
+        """Each keeps to its own, and says so."""
+        if (differ := self.members.unlike()) != self.differ:
+            self.differ = differ
+            if differ:
+                log.warning("fleet_settings_differ", fronts=differ)
+            else:
+                log.info("fleet_settings_alike")
+
     def on_disk(self) -> bool:
         """Whether all holds known here are on the disk, as far as there is one."""
         return self.recall is None or self.recall.has(self.copies.holds)
@@ -448,6 +471,7 @@
             f"replica.holds entries={len(copies.holds.held)} numbers={len(copies.holds.clock)} "
             f"lacking={len(lacking)} of={len(there)} settled={copies.merged} disk="
             + ("none" if self.recall is None else "yes" if self.on_disk() else "behind"),
+            f"replica.settings {members.settings:08x} differ={','.join(members.unlike()) or 'none'}",
             *(f"replica.hold {box}" for box in sorted(copies.holds.held)),
             *(f"replica.lacks {name}" for name in lacking[:64]),
             f"replica.rights resources={len(accounts)} loans={loans} refused={rights.refused}",
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -30,6 +30,7 @@
 from cleatyoke.standin.scenario import make_scenario
 from cleatyoke.standin.search import play_values, pool, rules
 from cleatyoke.standin.views import View, ViewJudge, read_view
+from tests.host import settings
 
 ROOT = Path(__file__).resolve().parent.parent
 SCENARIOS = ROOT / "tests" / "scenarios"
@@ -138,7 +139,7 @@
         wrong = {
             "stopped": (pause, [("fleet/conclude.py", "if rumour.state is State.LEFT or anew:",
                                  "if rumour.state is not State.ALIVE:")]),
-            "view": (roll, [("net/fleet.py", "peers.boot or int(time.time() * 1000)", "1"),
+            "view": (roll, [("net/fleet.py", "peers.boot or boot or int(time.time() * 1000)", "1"),
                             ("fleet/members.py", "self.id, self.count = Id(self.id.name, boot + 1), 0",
                              "pass")]),
         }  # fmt: skip
@@ -230,6 +231,21 @@
             view = await self.start(1)
         self.assertEqual((view.faults.figures.faults, view.dropped["early"]), (0, 1))
 
+    async def test_fronts_of_other_settings_are_told_of_and_each_keeps_to_its_own(self) -> None:
+        ours, theirs = settings(hosts=3, seed=1), settings(hosts=4)
+        for number in (1, 2, 3):
+            (await self.start(number)).say(theirs if number == 3 else settings(hosts=3, seed=number))
+        await self.until("len(view.members.present)", 2)
+        one, _, other = self.views
+        async with asyncio.timeout(5):
+            while one.differ != ["n3"] or other.differ != ["n1", "n2"]:
+                await asyncio.sleep(0.02)
+        self.assertTrue(one.replica_lines()[1].endswith("differ=n3"))
+        other.say(ours)
+        async with asyncio.timeout(5):
+            while one.differ or other.differ:
+                await asyncio.sleep(0.02)
+
     async def test_two_processes_of_one_name_are_both_seen_and_the_younger_takes_the_address(self) -> None:
         old, witness = await self.start(1, boot=1), await self.start(2)
         new = await self.start(1, boot=2)
