--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -418,8 +418,8 @@
 
     def goes_by(self, settings: int) -> None:
         """This life's settings, as a sum; they themselves never travel."""
-        if settings != self.settings:
-            self.settings = settings
+        changed, self.settings = settings != self.settings, settings
+        if changed and self.next:  # it has begun, so that others may have heard other ones
             self.count += 1
             self.queue[self.id] = 0
             self.next["gossip"] = self.now
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -146,6 +146,31 @@
     assert [doubt.where for doubt in doubts] in ([], [NAMES[0]])
 
 
+FULL = """
+import resource, signal, sys
+from pathlib import Path
+from cleatyoke.durable.records import Memory
+from cleatyoke.durable.store import Disk
+from cleatyoke.fleet.replicas import Holds
+from cleatyoke.fleet.wire import Id
+disk, holds = Disk(Path(sys.argv[1]), "ours/n1"), Holds().hold(Id("n1", 7), "s-003")
+assert disk.save(Memory(holds, 7)) == []
+signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+resource.setrlimit(resource.RLIMIT_FSIZE, (16384, resource.RLIM_INFINITY))
+many = Holds(holds.clock, {f"s-{number}": holds.held["s-003"] for number in range(2000)})
+failed = disk.save(Memory(many, 8))
+assert len(failed) == 2, failed
+resource.setrlimit(resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+memory, doubts = disk.load()
+assert (memory, doubts) == (Memory(holds, 7), []), (memory, doubts)
+assert disk.save(Memory(holds, 9)) == [] and disk.load()[0].boot == 9
+"""
+
+
+def test_a_disk_that_is_full_amid_a_write_keeps_what_it_had(tmp_path: Path) -> None:
+    assert subprocess.run([sys.executable, "-c", FULL, str(tmp_path)], cwd=ROOT).returncode == 0
+
+
 # The thread
 
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 from typing import Any, ClassVar
 
+from cleatyoke import api
 from cleatyoke.config import BadConfig, FleetPeers, read_address, read_fronts
 from cleatyoke.emulate.network import Fault, Network
 from cleatyoke.emulate.traffic import emulate
@@ -170,12 +171,14 @@
             view.stop()
         await asyncio.sleep(0)
 
-    async def start(self, number: int, boot: int = 1) -> FleetView:
+    async def start(self, number: int, boot: int = 1, goes_by: api.Settings | None = None) -> FleetView:
         listen = read_address(f"127.1.2.{number}:{self.port}", "listen")
         seeds = [read_address(f"127.1.2.1:{self.port}", "seeds")]
         peers = FleetPeers("ours", listen, listen, seeds, boot, TIMES)
         view = FleetView(peers, f"n{number}", 1, number, Faults(Figures()))
         self.views.append(view)
+        if goes_by:
+            view.say(goes_by)
         await view.start()
         return view
 
@@ -234,13 +237,14 @@
     async def test_fronts_of_other_settings_are_told_of_and_each_keeps_to_its_own(self) -> None:
         ours, theirs = settings(hosts=3, seed=1), settings(hosts=4)
         for number in (1, 2, 3):
-            (await self.start(number)).say(theirs if number == 3 else settings(hosts=3, seed=number))
+            await self.start(number, goes_by=theirs if number == 3 else settings(hosts=3, seed=number))
         await self.until("len(view.members.present)", 2)
         one, _, other = self.views
         async with asyncio.timeout(5):
             while one.differ != ["n3"] or other.differ != ["n1", "n2"]:
                 await asyncio.sleep(0.02)
         self.assertTrue(one.replica_lines()[1].endswith("differ=n3"))
+        self.assertEqual([view.faults.figures.faults for view in self.views], [0] * 3)
         other.say(ours)
         async with asyncio.timeout(5):
             while one.differ or other.differ:
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -16,6 +16,7 @@
 import threading
 import unittest
 import unittest.mock
+from collections.abc import Sequence
 from concurrent.futures import Future
 from pathlib import Path
 from typing import Any, ClassVar
@@ -24,12 +25,15 @@
 from hypothesis import strategies as st
 
 from cleatyoke.config import FLEET_TIMES, FleetPeers, read_address
-from cleatyoke.durable.records import Doubt, Memory
+from cleatyoke.durable.records import Doubt, Memory, Row
 from cleatyoke.durable.store import Disk
+from cleatyoke.emulate import keep
+from cleatyoke.emulate.keep import recalls
 from cleatyoke.faults import Faults
 from cleatyoke.figures import Figures
 from cleatyoke.fleet.recovery import BOUNDS, ORDER, Evidence, Recovery, Stage
 from cleatyoke.fleet.replicas import Holds
+from cleatyoke.fleet.sharing import Sharing
 from cleatyoke.fleet.wire import Id
 from cleatyoke.net.fleet import FleetView
 from cleatyoke.net.startup import Startup
@@ -109,6 +113,26 @@
     assert recovery.door_open()
 
 
+class TakesAbsenceForRelease(Sharing):
+    """A peer's copy counts for whole."""
+
+    def load(self, sender: Id, data: bytes) -> bool:
+        news = super().load(sender, data)
+        self.holds = self.told[sender]
+        return news
+
+
+def reads_nothing(rows: Sequence[Row], name: str) -> Memory:
+    return Memory(boot=recalls(rows, name).boot)
+
+
+def test_no_hold_that_was_kept_is_lost_in_any_order_of_losses_and_wrong_variants_are_caught() -> None:
+    seeds = (*range(20), 25, 33)
+    assert [keep.play(seed) for seed in seeds] == [[]] * len(seeds)
+    assert any(keep.play(seed, share=TakesAbsenceForRelease) for seed in (25, 33))
+    assert any(keep.play(seed, recall=reads_nothing) for seed in range(10))
+
+
 class LossCase(unittest.TestCase):
     """Eight processes that lose their power together, and such with a part of the mend taken out."""
 
