--- a/cleatyoke/emulate/recovery.py
+++ b/cleatyoke/emulate/recovery.py
@@ -47,7 +47,7 @@
                  {"name": "research", "rate": 12.0, "reserve": 6.0, "weight": 2.0}],
         "trouble": [{"kind": "powercut", "at": LOST, "lasts_s": BACK - LOST},
                     {"kind": "restart", "at": LOST, "lasts_s": BACK - LOST - 0.3}],
-        "view": {"enabled": view, "cold": True},
+        "view": {"enabled": True, "cold": True} if view else {},
     }  # fmt: skip
 
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -13,7 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.core import Core
-from cleatyoke.emulate import worth
+from cleatyoke.emulate import recovery, worth
 from cleatyoke.emulate.clock import Idle, run
 from cleatyoke.emulate.traffic import UNIX, Emulation, emulate
 from cleatyoke.emulate.worth import Wish
@@ -122,3 +122,16 @@
     few = worth.ideal(small, wishes, lambda cell, at: 4.0 if at < 1 else 0.0)  # a unit a slot; no last second
     assert few[3] == 0.0 and 4 * unit <= sum(few) < sum(worth.due(small, wishes[:3]))
     assert worth.over_time(wishes, [1.0, 2.0, 3.0, 4.0], 0.0) == [6.0, 4.0]
+
+
+def test_each_part_of_the_measurement_ends_with_its_figures() -> None:
+    figures = {(one["kind"], one["figure"]): one["value"] for kind in ("ours", "apart", "at once")
+               for one in recovery.recover(kind, 4, 1)}  # fmt: skip
+    assert figures["ours", "rules broken"] == figures["apart", "rules broken"] == "0"
+    assert 0 < float(figures["apart", "part of the reachable while cold"]) < 1
+    assert float(figures["sees all", "s to 90%"]) <= float(figures["ours", "s to 90%"])
+    most = [float(figures[kind, "most at a cold box"]) for kind in ("ours", "at once")]
+    assert most[0] < most[1]
+    lent, even = (recovery.share(kind, 6, 1) for kind in ("lent", "even"))
+    assert float(even[0]["value"]) < float(lent[0]["value"]) < 1
+    assert recovery.reached([0.0, 8.0, 8.0, 8.0, 8.0, *[0.0] * 5, 4.0, 4.0, 8.0, 8.0, 8.0, 8.0], 0.5) == 4.0
