Settle what is owed before a client's connection ends, and look again before an attempt's first byte

An attempt was looked at for its box only before its first byte: neither the client, nor its own time, nor the window in which boxes drop a keyed repeat, though a dial may take 0.25 s. Ruled out: TCP_NODELAY (asyncio sets it on both sides); an answer in the step between its handler and its writing (same turn). Change: `PartingTransport` (net/sockets.py) shuts sending, reads on within bounds, then closes; nothing with unread bytes is evicted, swept or timed out; the backlog is accepted before the listener closes; a connection is idle only once its answer is written; a client with bytes behind its request gets its one answer and then the end. `Send.before` and `May`: the window of repeats, the attempt's own time and the client's end (POLLRDHUP or a look) are asked directly before the first byte. The test that wanted no answer for a client with bytes behind its request now wants exactly one, and still nothing behind it.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -290,7 +290,7 @@
         closing: asyncio.Task[None] | None = None
         while True:
             sessions = 0 if closing is None else int(not closing.done())
-            for order in self.life.step(self.loop.time(), len(self.front.clients), sessions):
+            for order in self.life.step(self.loop.time(), self.front.open(), sessions):
                 with self.faults.step(order.value):
                     match order:
                         case Order.CLOSE_FILES:
--- a/cleatyoke/api.py
+++ b/cleatyoke/api.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -225,8 +226,12 @@
 
 @dataclass(slots=True)
 class Send:
+    """An attempt at a node. ``before``: when its first byte has to have gone out at the latest, as nodes drop
+    the repeat of a keyed request that may have run only for so long; the caller looks directly before it."""
+
     request: str
     node: int
+    before: float = field(default=math.inf, compare=False, repr=False)
 
 
 @dataclass(slots=True)
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -36,7 +36,8 @@
     busy: float | None = None
 
 
-Attempt = Callable[[int], Awaitable[Ending[T]]]  # of the node
+May = Callable[[], bool]  # whether an attempt may begin: asked directly before its first byte
+Attempt = Callable[[int, May], Awaitable[Ending[T]]]  # of the node
 
 
 @dataclass(slots=True)
@@ -152,8 +153,8 @@
                             self.end(
                                 ask, call.attempts, node, Ending(api.Outcome.NOT_SENT), 0.0, settled=True
                             )
-                        case api.Send(_, node):
-                            ending = await self.attempt(ask, call, node, attempt)
+                        case api.Send(_, node, before):
+                            ending = await self.attempt(ask, call, node, before, attempt)
                             if ending.outcome is api.Outcome.SERVED:
                                 return Served(ending.value)
                         case api.Refuse(_, wait):
@@ -178,16 +179,22 @@
                     self.end(ask, call.attempts, word.node, Ending(api.Outcome.NOT_SENT), 0.0, settled=True)
 
     async def attempt(
-        self, ask: api.Arrival, call: Call, node: int, attempt: Attempt[T]
+        self, ask: api.Arrival, call: Call, node: int, before: float, attempt: Attempt[T]
     ) -> Ending[T]:
         """One attempt, until its timer ends it or the policy calls it off by the same timer. Its end is told
-        once its connection is free or closed, so that there are never two out."""
+        once its connection is free or closed, so that there are never two out. What it is allowed by, the
+        time ``before`` which nodes know its request and its own time, is looked at again directly before its
+        first byte: a connection may take long to come up."""
         number, sent = call.attempts, self.now()
+
+        def may() -> bool:
+            return self.now() < min(before, self.until(ask))
+
         call.attempts += 1
         ending, settled = Ending[T](api.Outcome.CANCELLED), True  # a client that leaves takes it along
         try:
             async with asyncio.timeout_at(self.until(ask) - self.offset) as call.out:
-                ending = await attempt(node)
+                ending = await attempt(node, may)
             settled = ending.outcome is api.Outcome.SERVED
         except TimeoutError:
             settled = False
--- a/cleatyoke/emulate/traffic.py
+++ b/cleatyoke/emulate/traffic.py
@@ -248,7 +248,7 @@
             units=drawn.units, deadline=core.now() + kind.deadline, hosts=self.scenario.load.hosts,
         )  # fmt: skip
         task = asyncio.ensure_future(
-            core.serve(arrival, lambda node: self.attempt(front, node, trace, asked))
+            core.serve(arrival, lambda node, may: self.attempt(front, node, trace, asked))
         )
         front.open.add(task)
         task.add_done_callback(front.open.discard)
--- a/cleatyoke/middleware.py
+++ b/cleatyoke/middleware.py
@@ -13,7 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Outcome
-from cleatyoke.core import Core, Ending, Refused, Served
+from cleatyoke.core import Core, Ending, May, Refused, Served
 
 NODE = web.RequestKey("node", int)
 
@@ -32,8 +32,10 @@
             return await handler(request)
         last: web.StreamResponse | None = None
 
-        async def attempt(node: int) -> Ending[web.StreamResponse]:
+        async def attempt(node: int, may: May) -> Ending[web.StreamResponse]:
             nonlocal last
+            if not may():
+                return Ending(Outcome.NOT_SENT)
             request[NODE] = node
             try:
                 last = await handler(request)
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -15,7 +15,7 @@
 
 from cleatyoke.api import Outcome
 from cleatyoke.config import Address
-from cleatyoke.core import Ending
+from cleatyoke.core import Ending, May
 from cleatyoke.directory import Directory
 from cleatyoke.figures import Figures
 from cleatyoke.net.messages import (
@@ -273,16 +273,20 @@
         if line.expiry:
             line.expiry.cancel()
 
-    async def attempt(self, node: int, ask: Ask, wait: float) -> Ending[bytes | LongBody]:
+    async def attempt(self, node: int, ask: Ask, until: float, may: May) -> Ending[bytes | LongBody]:
         """Send the request to the box, once; any ending that is not proven harmless may have run. A long
-        answer counts as served with its first bytes; whoever gets its body closes it."""
+        answer counts as served with its first bytes; whoever gets its body closes it. ``until``: when the
+        attempt is given up, by the loop's clock, which the box is told; ``may``: whether it may still begin,
+        asked directly before its first byte, as is whether the box still serves."""
         if not self.directory.serves(node):
             return Ending(Outcome.NOT_SENT)
-        pool, line, answer = self.pool(node), None, None
+        pool, line, answer, unused = self.pool(node), None, None, False
         self.open += 1
         try:
             line = self.rested(pool) or await self.dial(pool)
-            if pool.retired or not self.directory.serves(node):  # the last look before the first byte
+            wait = until - asyncio.get_running_loop().time()
+            if pool.retired or not self.directory.serves(node) or not may():  # directly before the first byte
+                unused = True
                 return Ending(Outcome.NOT_SENT)
             try:
                 answer = await line.exchange(encode_attempt(ask, pool.address, wait), self.counted)
@@ -299,7 +303,7 @@
             if line and line.body and answer and answer.status == 200:
                 line.body.release = partial(self.settle, pool, line)
             else:
-                self.settle(pool, line, answer is not None and answer.reusable)
+                self.settle(pool, line, unused or (answer is not None and answer.reusable))
 
     async def probe(self, node: int, within: float) -> float | None:
         """Ask a box for its load report, by a connection that rests where there is one: the part of its power
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -16,11 +16,11 @@
 
 from cleatyoke import api, bodies
 from cleatyoke.config import Address, Config
-from cleatyoke.core import ATTEMPT_MARGIN, Core, Ending, Failed, Refused, Served
+from cleatyoke.core import ATTEMPT_MARGIN, Core, Ending, Failed, May, Refused, Served
 from cleatyoke.maintenance import Drain
 from cleatyoke.net.boxes import Boxes, LongBody
 from cleatyoke.net.messages import Ask, BadKey, BadMessage, SpoiltAnswer, decode_ask
-from cleatyoke.net.sockets import Listener, unread
+from cleatyoke.net.sockets import Listener, PartingTransport, ended, unread
 
 IDLE = 2.1  # seconds that a client's connection may stand without a request
 HEAD = 2.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
@@ -29,8 +29,10 @@
 LOOK = 0.02  # seconds between looks for room in memory, while a body waits for it
 MOST_HEAD = 4096  # bytes of a line or a field of a head
 MOST_FIELDS = 64
+MOST_BEHIND = 64 * 1024  # bytes behind a request that are read and thrown away before its answer
 SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
 REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken
+READ = 0.001  # seconds until what has come is read: the loop reads before it looks at its timers
 SWEEP = 0.05  # seconds between looks for idle connections while the front drains
 DRAIN_SILENT = 0.3  # seconds for which a new connection may stand without a request while the front drains
 CUT = web.ResponseKey("cut", bool)  # of an answer: its box did not give the whole of it
@@ -50,10 +52,14 @@
         self.came = self._loop.time()
         self.began = 0.0  # when the first byte of a message came whose head is not whole yet; 0: none has
         self.busy = self.whole = False  # a message is in hand; and nothing of it is still to come
+        self.surplus, self.behind = False, 0  # something came behind it; so many bytes
+        self.spared = False  # bytes that nobody had read kept it from being closed once
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        super().connection_made(transport)
-        self.front.idle[self] = None
+        assert isinstance(transport, asyncio.Transport)
+        parting = PartingTransport(transport, self, self.front.parts, self.front.parted)
+        super().connection_made(parting)
+        self.front.idle[self] = self.came
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self.front.forget(self)
@@ -63,11 +69,22 @@
         """No request is on its way here as far as anyone can see."""
         return not self.began and self.transport is not None and not unread(self.transport)
 
+    def gone(self) -> bool:
+        """The client has closed, whether or not the loop has heard of it: no attempt may begin for it, and
+        its request is withdrawn."""
+        if self.transport is not None and ended(self.transport):
+            self.transport.abort()
+        return self.transport is None or self.transport.is_closing()
+
     def data_received(self, data: bytes) -> None:
         if self.whole:
             # Guards the box and the next request: what comes behind a request before its answer is no
-            # message of this protocol, and may be hidden in a length that is wrong. It ends here.
-            self.force_close()
+            # message of this protocol, and may be hidden in a length that is wrong. It is thrown away; the
+            # request that was taken is owed its answer all the same, and the connection ends with it.
+            self.surplus = True
+            self.behind += len(data)
+            if self.behind > MOST_BEHIND and self.transport is not None:
+                self.transport.pause_reading()
             return
         super().data_received(data)
         if self._messages:
@@ -77,24 +94,49 @@
 
     def crowded(self) -> bool:
         """More than the message in hand has come."""
-        return bool(self._messages)
+        return self.surplus or bool(self._messages)
 
     def take(self) -> None:
-        self.busy, self.began = True, 0.0
+        self.busy, self.began, self.spared = True, 0.0, False
 
     def give_back(self) -> None:
         self.busy = self.whole = False
-        self.front.idle[self] = None
+        if self.transport is not None:
+            self.front.idle[self] = self._loop.time()
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """The connection is idle only once the answer is written: none of those that look for idle ones may
+        find it before."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            self.give_back()
 
     def evict(self) -> None:
-        """End an idle connection cleanly."""
+        """End an idle connection cleanly. Its descriptor is wanted at once, and nothing of it is unread."""
+        self.front.forget(self)
+        transport = self.transport
+        self.force_close()
+        if isinstance(transport, PartingTransport) and transport.flushed():
+            transport.end()
+            self.front.parted(transport)
+
+    def part(self) -> None:
+        """End an idle connection cleanly, whatever crosses the end: a client whose request does sees an end
+        in order and no answer, and sends it again elsewhere (protocol page, Clients to fronts)."""
         self.front.forget(self)
         self.force_close()
 
     def _process_keepalive(self) -> None:
-        """Close an idle connection, but let a head that has begun to come be read to its end."""
-        if self.began and (rest := self.began + HEAD - self._loop.time()) > 0:
-            self._keepalive_handle = self._loop.call_later(rest, super()._process_keepalive)
+        """Close an idle connection, but let a head that has begun to come be read to its end, and bytes that
+        have come in the turn of the loop in which it is due be read first."""
+        rest = self.began + HEAD - self._loop.time() if self.began else 0.0
+        if rest <= 0 and not self.spared and self.transport is not None and unread(self.transport):
+            self.spared, rest = True, READ
+        if rest > 0:
+            self._keepalive_handle = self._loop.call_later(rest, self._process_keepalive)
         else:
             super()._process_keepalive()
 
@@ -127,7 +169,8 @@
         )  # a client that closes is withdrawn
         self.clients: set[Client] = set()
         self.silent: dict[Client, None] = {}  # without a message so far, the oldest first
-        self.idle: dict[Client, None] = {}  # without a message in hand, the longest idle first
+        self.idle: dict[Client, float] = {}  # without a message in hand: since when, the longest first
+        self.parting: dict[PartingTransport, float] = {}  # answered, not closed yet: since when
         self.taken: set[str] = set()  # ids of open requests, and of those just over
         self.over: deque[tuple[float, str]] = deque()  # when to forget which of them
         self.listener: Listener | None = None
@@ -154,11 +197,16 @@
     def room(self) -> bool:
         """Whether one more connection has a place. At the bound the oldest that never spoke makes room, or
         else the longest idle; where a flood has just filled it, the kernel holds newcomers for an instant."""
-        if len(self.clients) < self.most_clients:
+        if len(self.clients) + len(self.parting) < self.most_clients:
             return True
         before = self.core.loop.time() - SILENT
+        for parting, since in self.parting.items():
+            if since <= before and parting.flushed():
+                parting.end()
+                self.parted(parting)
+                return True
         for one in [*self.silent, *self.idle]:
-            if one.came <= before and one.evictable():
+            if self.idle.get(one, one.came) <= before and one.evictable():
                 one.evict()
                 return True
         slow = self.core.loop.time() - SLOW_HEAD
@@ -186,6 +234,16 @@
         self.clients.discard(client)
         self.spoke(client)
 
+    def parts(self, transport: PartingTransport) -> None:
+        self.parting[transport] = self.core.loop.time()
+
+    def parted(self, transport: PartingTransport) -> None:
+        self.parting.pop(transport, None)
+
+    def open(self) -> int:
+        """Connections on which something may still be owed, and those whose answer is not surely read."""
+        return len(self.clients) + len(self.parting)
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         client = request.protocol
         assert isinstance(client, Client)
@@ -204,7 +262,6 @@
         finally:
             self.figures.inflight -= counted
             self.space.leave(client)
-            client.give_back()
         if not response.prepared and self.ends(request, client):
             response.force_close()  # Connection: close
         return response
@@ -215,7 +272,7 @@
         Guards against clients that ask once and keep their connection for good: they would soon hold all
         that clients can open, and the next find none. A close that the answer tells of crosses nothing.
         Only idle ones count: amid a storm of repeats, new connections would cost what the answers need."""
-        crowded = len(self.idle) - len(self.silent) > self.config.shares.crowd
+        crowded = len(self.idle) - len(self.silent) + 1 > self.config.shares.crowd  # with this one
         leaving = self.closing or self.drain.draining
         return crowded or leaving or not request.content.is_eof() or client.crowded()
 
@@ -288,8 +345,9 @@
     ) -> web.StreamResponse:
         """One request through the core: an attempt is one exchange with a box."""
 
-        async def attempt(node: int) -> Ending[bytes | LongBody]:
-            return await self.boxes.attempt(node, ask, deadline - ATTEMPT_MARGIN - self.core.now())
+        async def attempt(node: int, may: May) -> Ending[bytes | LongBody]:
+            until = deadline - ATTEMPT_MARGIN - self.core.offset
+            return await self.boxes.attempt(node, ask, until, lambda: may() and not client.gone())
 
         arrival = api.Arrival(
             request=self.core.new_id(),
@@ -340,17 +398,15 @@
         return response
 
     def sweep(self) -> None:
-        """While the front drains: no connection is kept idle, nor one that has not sent a request in time."""
+        """While the front drains or leaves: no connection is kept idle, nor one that has not sent a request
+        in time."""
         self.sweeper = None
-        if not self.drain.draining:
+        if not (self.drain.draining or self.closing):
             return
         before = self.core.loop.time() - DRAIN_SILENT
         for client in [*self.idle]:
-            if client not in self.silent and client.evictable():
-                client.evict()
-        for client in [*self.silent]:
-            if client.came <= before and client.evictable():
-                client.evict()
+            if (client not in self.silent or client.came <= before) and client.evictable():
+                client.part()
         self.sweeper = self.core.loop.call_later(SWEEP, self.sweep)
 
     def drained(self) -> None:
@@ -369,16 +425,16 @@
         self.core.hurry(self.last_answer)
 
     def stop_accepting(self) -> None:
-        """No new connections, no idle ones; what was taken is answered, each answer with its close."""
+        """No new connections, no idle ones; what was taken is answered, each answer with its close. A message
+        that has begun to come, or that nobody has read yet, is taken too. Not by ``web.Server.pre_shutdown``:
+        after that the rest of a body that is on its way is never read."""
         self.closing = True  # from now on each answer says that its connection ends
         if self.listener:
             self.listener.close()
-        self.server.pre_shutdown()
-        for client in list(self.idle):
-            client.evict()
+        self.begin_sweep()
 
     async def close(self) -> None:
         """Stop accepting, and wait for the last answer."""
         self.stop_accepting()
-        while self.clients:
+        while self.open():
             await asyncio.sleep(0.02)
--- a/cleatyoke/net/sockets.py
+++ b/cleatyoke/net/sockets.py
@@ -1,15 +1,21 @@
-"""What asyncio does not offer for sockets: a look for unread bytes, and a listener that can wait for room."""
+"""What asyncio does not offer for sockets: a look for unread bytes or the end, a close that costs no answer,
+and a listener that can wait for room."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
 import socket
 from collections.abc import Callable
+from typing import Any
 
 ACCEPTED = 32  # connections accepted in one turn of the loop
 BACKLOG = 512  # connections that the kernel holds until they are accepted
 PAUSE = 0.01  # seconds until the next look for room
+PART = 1.0  # seconds for which a peer is read on after the sending side was shut; none of its settings tells
+MOST_PART = 1 << 20  # bytes that are read and thrown away then
+MOST_LOOKS = 10  # times ``PART`` for a peer that does not read what was written
 
 
 def unread(transport: asyncio.Transport) -> bool:
@@ -23,6 +29,142 @@
     return bool(look.poll(0))
 
 
+def ended(transport: asyncio.BaseTransport) -> bool:
+    """The peer has closed or reset the connection, or shut its sending side, whether or not the loop has read
+    that yet; or it is closed on this side."""
+    descriptor = transport.get_extra_info("socket").fileno()
+    if descriptor < 0:
+        return True
+    look = select.poll()
+    look.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    found = look.poll(0)
+    if not found:
+        return False
+    if found[0][1] & (select.POLLRDHUP | select.POLLHUP | select.POLLERR):
+        return True
+    peek = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, descriptor)  # asyncio's own has no recv
+    try:
+        return not peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        peek.detach()
+
+
+class PartingTransport(asyncio.Transport):
+    """A transport whose ``close`` costs no answer (RFC 9112, 9.6): what was written goes out, then the
+    sending side is shut, and what still comes is thrown away until the peer ends it too, within ``PART``
+    seconds and ``MOST_PART`` bytes. Guards answers: a close over unread bytes resets the connection, and what
+    the peer has not read of the answer goes with it. Its protocol is told of the end at once, and hears
+    nothing more; ``parted`` is called once the descriptor is free."""
+
+    def __init__(
+        self, inner: asyncio.Transport, protocol: asyncio.Protocol, parts: Callable[[PartingTransport], None],
+        parted: Callable[[PartingTransport], None],
+    ) -> None:  # fmt: skip
+        super().__init__()
+        self.inner, self.protocol, self.parts, self.parted = inner, protocol, parts, parted
+        self.parting = False
+
+    def close(self) -> None:
+        if self.parting or self.inner.is_closing():
+            return
+        self.parting = True
+        self.inner.set_protocol(Parting(self))
+        asyncio.get_running_loop().call_soon(self.protocol.connection_lost, None)
+        self.parts(self)
+        try:
+            self.inner.resume_reading()
+            self.inner.write_eof()
+        except (OSError, RuntimeError):  # the peer has reset it
+            self.inner.abort()
+
+    def flushed(self) -> bool:
+        """All that was written is with the kernel."""
+        return not self.inner.get_write_buffer_size()
+
+    def end(self) -> None:
+        """At once, where its descriptor is wanted and nothing is owed on it, or unread."""
+        self.inner.abort()
+
+    def is_closing(self) -> bool:
+        return self.parting or self.inner.is_closing()
+
+    def write(self, data: Any) -> None:
+        if not self.parting:
+            self.inner.write(data)
+
+    def writelines(self, list_of_data: Any) -> None:
+        if not self.parting:
+            self.inner.writelines(list_of_data)
+
+    def write_eof(self) -> None:
+        self.inner.write_eof()
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def abort(self) -> None:
+        self.inner.abort()
+
+    def pause_reading(self) -> None:
+        if not self.parting:
+            self.inner.pause_reading()
+
+    def resume_reading(self) -> None:
+        if not self.parting:
+            self.inner.resume_reading()
+
+    def is_reading(self) -> bool:
+        return self.inner.is_reading()
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self.inner.get_extra_info(name, default)
+
+    def get_write_buffer_size(self) -> int:
+        return self.inner.get_write_buffer_size()
+
+    def get_write_buffer_limits(self) -> tuple[int, int]:
+        return self.inner.get_write_buffer_limits()
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        self.inner.set_write_buffer_limits(high, low)
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        return self.inner.get_protocol()
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        self.inner.set_protocol(protocol)
+
+
+class Parting(asyncio.Protocol):
+    """What is left of a connection whose sending side is shut: it reads and throws away."""
+
+    def __init__(self, transport: PartingTransport) -> None:
+        self.transport, self.left, self.looks = transport, MOST_PART, 0
+        self.loop = asyncio.get_running_loop()
+        self.bell = self.loop.call_later(PART, self.look)
+
+    def look(self) -> None:
+        """A peer that reads slowly has the rest of its answer first."""
+        self.looks += 1
+        if self.transport.flushed() or self.looks >= MOST_LOOKS:
+            self.transport.inner.abort()
+        else:
+            self.bell = self.loop.call_later(PART, self.look)
+
+    def data_received(self, data: bytes) -> None:
+        self.left -= len(data)
+        if self.left < 0:
+            self.transport.inner.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.bell.cancel()
+        self.transport.parted(self.transport)
+
+
 class NotListening(OSError):
     """A descriptor that was handed down is no listening TCP socket."""
 
@@ -56,6 +198,7 @@
         else:
             self.socket = take_listening(inherited)
         self.socket.setblocking(False)
+        self.shared = inherited is not None
         self.tasks: set[asyncio.Task[None]] = set()
         self.bell: asyncio.TimerHandle | None = None
         self.resume()
@@ -71,14 +214,17 @@
             if not self.room():
                 return self.wait()
             try:
-                connection, _ = self.socket.accept()
+                self.take()
             except BlockingIOError:
                 return
             except OSError:
                 return self.wait()
-            task = self.loop.create_task(self.connect(self.make(), connection))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+
+    def take(self) -> None:
+        connection, _ = self.socket.accept()
+        task = self.loop.create_task(self.connect(self.make(), connection))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
     def wait(self) -> None:
         self.loop.remove_reader(self.socket)
@@ -94,7 +240,17 @@
                 raise
 
     def close(self) -> None:
+        """What the kernel holds is accepted first, as far as there is room: requests on it count as taken,
+        and the close would reset them. Where the socket is another process's too, that one accepts them."""
         if self.bell:
             self.bell.cancel()
+        if self.socket.fileno() < 0:
+            return
         self.loop.remove_reader(self.socket)
+        if not self.shared:
+            with contextlib.suppress(OSError):  # no descriptor left, or nobody waits any more
+                for _ in range(BACKLOG):
+                    if not readable(self.socket.fileno()) or not self.room():
+                        break
+                    self.take()
         self.socket.close()
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -286,7 +286,7 @@
         request.sends += 1
         node.out[request.index] += 1
         node.cold.level -= request.units
-        self.actions.append(api.Send(request.id, node.id))
+        self.actions.append(api.Send(request.id, node.id, self.forgotten_at(request)))
 
     # Events
 
@@ -486,11 +486,16 @@
         """No doubled effect: a keyed request that may have run stays where its repeats are dropped."""
         if not request.ran or request.kind.repeat is Repeat.FREE:
             return True
-        first, home = request.ran[0]
-        known = request.kind.repeat is Repeat.KEYED and self.now <= first + request.kind.memory - MARGIN
+        home = request.ran[0][1]
+        known = request.kind.repeat is Repeat.KEYED and self.now <= self.forgotten_at(request)
         same = {Scope.ALL: True, Scope.ZONE: node.zone == home.zone, Scope.CELL: node.cell == home.cell}
         return known and same[request.kind.scope]
 
+    def forgotten_at(self, request: Request) -> float:
+        """When nodes may forget a keyed request that may have run, and so run it anew."""
+        known = request.ran and request.kind.repeat is Repeat.KEYED
+        return request.ran[0][0] + request.kind.memory - MARGIN if known else math.inf
+
     def within_budget_at(self, request: Request) -> float:
         """Attempt budget: sends beyond each request's first, within the window."""
         safety = self.safety
--- a/cleatyoke/sftp/boxes.py
+++ b/cleatyoke/sftp/boxes.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 
 from cleatyoke.api import Outcome
-from cleatyoke.core import Ending
+from cleatyoke.core import Ending, May
 from cleatyoke.directory import Directory
 from cleatyoke.sftp.packets import (
     VERSION,
@@ -132,12 +132,12 @@
         for node in list(self.idle):
             self.drop(node)
 
-    async def attempt(self, node: int, command: Command) -> Ending[Packet]:
+    async def attempt(self, node: int, command: Command, may: May) -> Ending[Packet]:
         """One conversation; once a byte of the command may be written, a break may mean that it ran."""
         line, began, done = None, False, False
         try:
             line = await self.connect(node, fresh=isinstance(command, Upload) or changes(command))
-            if not self.directory.serves(node):  # discovery may have spoken while the connection came up
+            if not (self.directory.serves(node) and may()):  # it may have taken long to come up
                 raise NotServing
             began = True
             reply = await converse(line, command)
--- a/cleatyoke/sftp/front.py
+++ b/cleatyoke/sftp/front.py
@@ -164,7 +164,7 @@
             deadline=deadline,
             hosts=volume.hosts,
         )
-        match await self.core.serve(arrival, lambda node: self.boxes.attempt(node, command)):
+        match await self.core.serve(arrival, lambda node, may: self.boxes.attempt(node, command, may)):
             case Served(reply) if reply is not None:
                 return reply
             case Refused(wait):
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,361 @@
+"""Every path that ends a client's connection or begins an attempt, at the instant in which something is still
+owed. The order is forced: a transport that is held from reading has bytes that the loop has not read."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+from unittest import mock
+
+from cleatyoke import api
+from cleatyoke.api import Outcome, Repeat
+from cleatyoke.core import Core, Ending, May, Served
+from cleatyoke.directory import Directory
+from cleatyoke.net import server as server_module
+from cleatyoke.net import sockets
+from cleatyoke.net.boxes import Line
+from cleatyoke.net.server import Client
+from cleatyoke.net.sockets import PartingTransport, ended, unread
+from tests.host import Host, class_spec, entry, settings
+from tests.test_http_front import FrontCase, ask
+from tests.wire import answer, config, instance, listed
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+async def at_once(trace: str) -> bytes:
+    return answer()
+
+
+class EndingCase(FrontCase):
+    """A front, and its only client's connection in hand on both sides."""
+
+    async def meet(self, script: Any = at_once, *parts: bytes) -> tuple[Client, Streams]:
+        await self.begin(script)
+        streams = await self.raw(*parts)
+        await self.until(lambda: self.front.clients)
+        (client,) = self.front.clients
+        self.addAsyncCleanup(self.hang_up, streams[1])
+        return client, streams
+
+    async def hang_up(self, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+    def transport(self, client: Client) -> PartingTransport:
+        assert isinstance(client.transport, PartingTransport)
+        return client.transport
+
+    async def unread(self, client: Client, streams: Streams, *parts: bytes) -> PartingTransport:
+        """Bytes that have come and that the loop has not read."""
+        transport = self.transport(client)
+        transport.pause_reading()
+        streams[1].write(b"".join(parts))
+        await self.until(lambda: unread(transport))
+        return transport
+
+    async def served_and_closed(self, streams: Streams) -> None:
+        """One whole answer, and then an end in order: no reset."""
+        async with asyncio.timeout(5):
+            heard = await streams[0].read()
+        self.assertEqual(heard.count(b"HTTP/1.1 200 "), 1, heard)
+        self.assertTrue(heard.endswith(b"\r\n\r\ntile"), heard)
+
+
+class LeavingStories(EndingCase):
+    async def test_a_request_that_has_come_and_is_unread_as_accepting_ends_is_answered(self) -> None:
+        client, streams = await self.meet()
+        await self.until(lambda: client in self.front.idle)
+        transport = await self.unread(client, streams, self.head("t"))
+        self.front.stop_accepting()
+        await asyncio.sleep(0)
+        transport.resume_reading()
+        await self.served_and_closed(streams)
+
+    async def test_a_head_of_which_a_part_has_come_as_accepting_ends_is_read_on(self) -> None:
+        client, streams = await self.meet(at_once, self.head("t")[:20])
+        await self.until(lambda: client.began)
+        self.front.stop_accepting()
+        streams[1].write(self.head("t")[20:])
+        await self.served_and_closed(streams)
+
+    async def test_a_body_that_is_on_its_way_as_accepting_ends_is_read_to_its_end(self) -> None:
+        head = self.head("t", "Content-Length: 9", method="PUT").replace(b"tile-read", b"record-write")
+        client, streams = await self.meet(at_once, head + b"half")
+        await self.until(lambda: client.busy)
+        self.front.stop_accepting()
+        await asyncio.sleep(0)
+        streams[1].write(b"there")
+        await self.served_and_closed(streams)
+        self.assertEqual(self.box.bodies["t"], b"halfthere")
+
+    async def test_what_waits_in_the_backlog_as_the_listener_closes_is_taken_and_answered(self) -> None:
+        await self.begin(at_once)
+        with socket.create_connection(("127.0.0.1", self.front.address.port)) as first:
+            first.sendall(self.head("t"))  # the loop has had no turn since: the kernel holds it
+            assert self.front.listener and not self.front.clients
+            self.front.stop_accepting()
+            first.setblocking(False)
+            async with asyncio.timeout(5):
+                heard = b""
+                while piece := await asyncio.get_running_loop().sock_recv(first, 65536):
+                    heard += piece
+        self.assertIn(b" 200 ", heard)
+        self.assertTrue(heard.endswith(b"tile"), heard)
+
+    async def test_what_waits_at_a_shared_listener_is_left_to_the_other_process(self) -> None:
+        await self.begin(at_once)
+        other = socket.create_server(("127.0.0.1", 0))
+        with other, socket.create_connection(other.getsockname()):
+            listener = sockets.Listener("", 0, lambda: True, self.front.admit, other.dup().detach())
+            listener.close()
+            self.assertTrue(sockets.readable(other.fileno()))
+        self.assertEqual(len(self.front.clients), 0)
+
+    async def test_a_connection_that_never_speaks_does_not_hold_up_the_exit(self) -> None:
+        client, streams = await self.meet()
+        client.came -= server_module.DRAIN_SILENT
+        self.front.stop_accepting()
+        async with asyncio.timeout(1):
+            self.assertEqual(await streams[0].read(), b"")
+        streams[1].close()
+        await self.until(lambda: not self.front.open())
+
+    async def test_the_exit_waits_until_an_answer_has_left_and_its_reader_has_ended(self) -> None:
+        client, streams = await self.meet(at_once, self.head("t"))
+        self.front.closing = True
+        await self.until(lambda: self.front.parting)
+        self.assertEqual(self.front.open(), 1)
+        self.assertNotIn(client, self.front.clients)
+        await self.served_and_closed(streams)
+        streams[1].close()
+        await self.until(lambda: not self.front.open())
+
+
+class ClosingStories(EndingCase):
+    async def test_a_close_over_unread_bytes_costs_no_answer(self) -> None:
+        release = asyncio.Event()
+
+        async def script(trace: str) -> bytes:
+            await release.wait()
+            return answer()
+
+        client, streams = await self.meet(script, self.head("t"))
+        await self.until(lambda: self.box.counts["t"])
+        self.front.closing = True
+        await self.unread(client, streams, self.head("next"))
+        release.set()
+        await self.until(lambda: self.front.parting)
+        await self.served_and_closed(streams)
+        self.assertEqual(self.box.counts["next"], 0, "read after the shutdown, it must not be sent on")
+
+    async def test_a_refused_upload_hears_why_though_none_of_it_is_read(self) -> None:
+        head = self.head("t", "Content-Length: 60000000", method="PUT").replace(b"tile-read", b"record-write")
+        _, streams = await self.meet(at_once, head, bytes(200_000))
+        async with asyncio.timeout(5):
+            heard = await streams[0].read()
+        self.assertEqual(heard[9:12], b"413")
+
+    async def given_up(self, behind: bytes, part: float) -> None:
+        with mock.patch.multiple(sockets, PART=part, MOST_PART=1 << 16):
+            _, streams = await self.meet(at_once, self.head("t"))
+            self.front.closing = True
+            await self.until(lambda: self.front.parting)
+            streams[1].write(behind)
+            await self.until(lambda: not self.front.open())
+
+    async def test_a_peer_that_never_ends_is_given_up(self) -> None:
+        await self.given_up(b"", 0.1)
+
+    async def test_a_peer_that_never_stops_is_given_up(self) -> None:
+        await self.given_up(bytes(1 << 20), 60.0)
+
+    async def idle_limit(self, read_first: bool) -> None:
+        client, streams = await self.meet()
+        await self.until(lambda: client in self.front.idle)
+        transport = await self.unread(client, streams, self.head("t"))
+        client._next_keepalive_close_time = 0.0
+        if read_first:  # the loop reads, then its timer is due
+            client.data_received(self.head("u"))
+        client._process_keepalive()
+        self.assertFalse(transport.is_closing())
+        if not read_first:
+            transport.resume_reading()
+        async with asyncio.timeout(5):
+            self.assertIn(b" 200 ", await streams[0].readline())
+
+    async def test_the_idle_limit_does_not_fall_on_what_was_read_in_the_same_turn(self) -> None:
+        await self.idle_limit(read_first=True)
+
+    async def test_the_idle_limit_does_not_fall_on_what_comes_in_the_same_turn_and_is_unread(self) -> None:
+        await self.idle_limit(read_first=False)
+
+    async def test_a_drain_by_hand_ends_no_connection_on_which_something_has_come(self) -> None:
+        client, streams = await self.meet(at_once, self.head("t"))
+        self.assertIn(b" 200 ", await streams[0].readuntil(b"tile"))
+        await self.until(lambda: client in self.front.idle)
+        transport = await self.unread(client, streams, self.head("u"))
+        self.front.drain.start()
+        self.front.sweep()
+        self.assertFalse(transport.is_closing())
+        transport.resume_reading()
+        await self.served_and_closed(streams)
+
+    async def test_room_is_made_neither_by_what_is_unread_nor_by_what_was_answered_just_now(self) -> None:
+        client, streams = await self.meet(at_once, self.head("t"))
+        self.assertIn(b" 200 ", await streams[0].readuntil(b"tile"))
+        await self.until(lambda: client in self.front.idle)
+        self.front.most_clients = 1
+        client.came = 0.0
+        self.front.idle[client] = self.core.loop.time() + 60
+        self.assertFalse(self.front.room(), "its reader has had no time for the answer")
+        self.front.idle[client] = 0.0
+        transport = await self.unread(client, streams, self.head("u"))
+        self.assertFalse(self.front.room())
+        transport.resume_reading()
+        self.assertIn(b" 200 ", await streams[0].readline())
+
+    async def test_a_connection_is_idle_only_once_its_answer_is_written(self) -> None:
+        seen: list[bool] = []
+        client, streams = await self.meet()
+        finish = server_module.RequestHandler.finish_response
+
+        async def look(one: Client, *words: Any) -> Any:
+            seen.append(one in self.front.idle)
+            return await finish(one, *words)
+
+        with mock.patch.object(server_module.RequestHandler, "finish_response", look):
+            streams[1].write(self.head("t"))
+            await streams[0].readuntil(b"tile")
+        await self.until(lambda: client in self.front.idle)
+        self.assertEqual(seen, [False])
+
+
+class GoneClientStories(EndingCase):
+    async def while_a_connection_comes_up(self, leave: Any, half: bool = False) -> None:
+        """A client that goes while its attempt is dialled, its end not yet read by the loop."""
+        dialling, up = asyncio.Event(), asyncio.Event()
+        client, streams = await self.meet()
+        dial = self.boxes.dial
+
+        async def late(pool: Any) -> Line:
+            dialling.set()
+            await up.wait()
+            return await dial(pool)
+
+        with mock.patch.object(self.boxes, "dial", late):
+            streams[1].write(self.head("t"))
+            await dialling.wait()
+            transport = self.transport(client)
+            transport.pause_reading()
+            leave(streams[1])
+            await self.until(lambda: ended(transport))
+            up.set()
+            await self.until(lambda: not self.core.calls)
+        await asyncio.sleep(0.05)
+        self.assertEqual(dict(self.box.counts), {})
+
+    async def test_no_attempt_begins_for_a_client_that_closed(self) -> None:
+        await self.while_a_connection_comes_up(lambda writer: writer.close())
+
+    async def test_no_attempt_begins_for_a_client_that_reset(self) -> None:
+        await self.while_a_connection_comes_up(lambda writer: writer.transport.abort())
+
+    async def test_no_attempt_begins_for_a_client_that_ended_its_sending(self) -> None:
+        await self.while_a_connection_comes_up(lambda writer: writer.write_eof())
+
+    async def test_no_further_attempt_begins_for_a_client_that_closed_between_two(self) -> None:
+        turned_away = asyncio.Event()
+
+        async def script(trace: str) -> bytes:
+            transport = self.transport(client)
+            transport.pause_reading()
+            streams[1].close()
+            await self.until(lambda: ended(transport))
+            turned_away.set()
+            return answer(503, b"", "X-Never-Ran: 1")
+
+        client, streams = await self.meet(script)
+        streams[1].write(self.head("t"))
+        await turned_away.wait()
+        await self.until(lambda: not self.core.calls)
+        self.assertEqual(self.box.counts["t"], 1)
+
+    async def test_a_word_to_send_that_waits_as_the_client_goes_sends_nothing(self) -> None:
+        client, streams = await self.meet()
+        word = asyncio.Event()
+        step = self.core.step
+
+        def hold() -> None:  # the policy's word and the client's end come in one turn, the word first
+            step()
+            if self.core.calls:
+                streams[1].transport.abort()
+                word.set()
+                client.connection_lost(None)
+
+        with mock.patch.object(self.core, "step", hold):
+            streams[1].write(self.head("t"))
+            await word.wait()
+            await self.until(lambda: not self.core.calls)
+        await asyncio.sleep(0.05)
+        self.assertEqual(dict(self.box.counts), {})
+        self.assertFalse(any(sum(node.out) for node in self.core.policy.nodes.values()))
+
+
+class LeaseStories(FrontCase):
+    async def test_what_allows_an_attempt_is_looked_at_once_its_connection_is_up(self) -> None:
+        await self.begin(at_once)
+        asked: list[int] = []
+
+        def may() -> bool:
+            asked.append(self.box.accepted)
+            return False
+
+        self.assertIs((await self.attempt(1, ask("t"), may)).outcome, Outcome.NOT_SENT)
+        await self.until(lambda: self.box.accepted)
+        self.assertEqual((len(asked), dict(self.box.counts)), (1, {}))
+        self.assertEqual(len(self.boxes.pools[1].idle), 1, "the connection is as good as before")
+        self.assertIs((await self.attempt(1, ask("u"))).outcome, Outcome.SERVED)
+
+    async def test_a_repeat_whose_connection_comes_up_when_nodes_may_have_forgotten_is_not_sent(self) -> None:
+        keyed = class_spec(repeat=Repeat.KEYED, memory=1.0, aim=5.0)
+        core, looks = Core(settings([keyed])), list[bool]()
+        core.tell(api.NodeList(api.ListKind.FULL, [entry(1, 1)]))
+
+        async def attempt(node: int, may: May) -> Ending[str]:
+            looks.append(may())
+            if len(looks) == 1:
+                return Ending(Outcome.RESET)
+            core.offset += 1.0  # it takes long to come up
+            looks.append(may())
+            return Ending(Outcome.NOT_SENT)
+
+        asked = Host(settings(), []).arrival("a", deadline=core.now() + 4.0)
+        self.assertNotIsInstance(await core.serve(asked, attempt), Served)
+        self.assertEqual(looks, [True, True, False])
+
+    async def test_an_attempt_whose_own_time_is_up_does_not_begin(self) -> None:
+        core, looks = Core(config().settings), list[bool]()
+        core.tell(listed(Directory({}), instance("s-a", 1), whole=True))
+
+        async def attempt(node: int, may: May) -> Ending[str]:
+            core.offset += 60.0
+            looks.append(may())
+            return Ending(Outcome.NOT_SENT)
+
+        asked = Host(settings(), []).arrival("a", cell=0, deadline=core.now() + 1.0)
+        await core.serve(asked, attempt)
+        self.assertEqual(looks, [False])
+
+
+def test_a_repeat_says_when_nodes_may_forget_it_counted_from_the_first_that_may_have_run() -> None:
+    host = Host(settings([class_spec(repeat=Repeat.KEYED, memory=1.0)]), [entry(1, 1)])
+    host.ask("a")
+    host.end("a", Outcome.FULL)  # never ran: nothing is remembered yet
+    host.run_until(host.now + 0.6)
+    host.end("a", Outcome.RESET)
+    first = host.policy.requests["a"].ran[0][0]
+    host.run_until(host.now + 0.2)
+    sends = [action.before for action in host.log if isinstance(action, api.Send)]
+    assert sends[:2] == [float("inf")] * 2 and len(sends) == 3
+    assert abs(sends[2] - (first + 1.0 - 0.04)) < 1e-9
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -18,7 +18,7 @@
 from cleatyoke import __main__ as daemon
 from cleatyoke import api
 from cleatyoke.config import Address, BadConfig, read_config
-from cleatyoke.core import Call, Core, Ending, Failed, Refused
+from cleatyoke.core import Call, Core, Ending, Failed, May, Refused
 from cleatyoke.directory import Directory
 from cleatyoke.faults import Beat, Faults
 from cleatyoke.figures import Figures
@@ -105,7 +105,7 @@
         sent: list[str] = []
 
         def ask(name: str, kind: int, cell: int) -> asyncio.Task[object]:
-            async def hang(node: int) -> Ending[None]:
+            async def hang(node: int, may: May) -> Ending[None]:
                 sent.append(name)
                 await asyncio.sleep(60)
                 return Ending(api.Outcome.SERVED)
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -10,7 +10,7 @@
 import tempfile
 import unittest
 import unittest.mock
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -84,6 +84,12 @@
         async with self.client.request(method, url, headers=every, data=body or None) as response:
             return response.status, await response.read()
 
+    async def attempt(
+        self, node: int, request: Ask, may: Callable[[], bool] = lambda: True
+    ) -> Ending[bytes | LongBody]:
+        until = asyncio.get_running_loop().time() + 1.0
+        return await self.boxes.attempt(node, request, until, may)
+
     async def until(self, true: Any) -> None:
         async with asyncio.timeout(5):
             while not true():
@@ -287,7 +293,13 @@
 
     async def test_more_than_one_request_at_a_time_reaches_no_box(self) -> None:
         # Pipelined; a length that is too short, so that the body hides another; two lengths; both framings.
-        await self.begin(lambda trace: asyncio.sleep(60))
+        release = asyncio.Event()
+
+        async def script(trace: str) -> bytes:
+            await release.wait()
+            return answer()
+
+        await self.begin(script)
         hidden = self.head("x")
         for case in (
             hidden * 300,
@@ -302,9 +314,13 @@
         self.assertEqual(self.box.accepted, 0)
         reader, writer = await self.raw(self.head("late"))
         await self.until(lambda: self.box.counts["late"])
-        writer.write(hidden)  # behind a request that is already at the box
-        self.assertEqual(await reader.read(), b"")
-        self.assertEqual(self.box.counts["x"], 0)
+        writer.write(hidden)  # behind a request that is already at the box, and is owed its answer
+        await self.until(lambda: any(one.surplus for one in self.front.clients))
+        release.set()
+        heard = await reader.read()
+        self.assertEqual((heard.count(b"HTTP/1.1 200 "), heard.count(b"HTTP/")), (1, 1), heard)
+        self.assertIn(b"Connection: close", heard)
+        self.assertEqual((self.box.counts["late"], self.box.counts["x"]), (1, 0))
         writer.close()
 
     async def test_an_id_that_is_taken_is_an_error_without_harm_to_the_first(self) -> None:
@@ -364,7 +380,7 @@
             return line
 
         with mock.patch.object(self.boxes, "dial", late):
-            outcome = (await self.boxes.attempt(1, ask("t"), 1.0)).outcome
+            outcome = (await self.attempt(1, ask("t"))).outcome
         self.assertEqual((outcome, self.box.counts["t"]), (Outcome.NOT_SENT, 0))
 
     async def test_a_refused_connection_never_ran_and_pools_of_a_draining_box_are_closed(self) -> None:
@@ -372,13 +388,13 @@
             return answer()
 
         await self.begin(script)
-        await self.boxes.attempt(1, ask("t"), 1.0)
+        await self.attempt(1, ask("t"))
         self.assertEqual(self.box.open, 1)
         listed(self.directory, instance("s-a", self.box.port, NodeState.DRAINING))
         await self.until(lambda: self.box.open == 0)
         self.box.stop()
         listed(self.directory, instance("s-a", self.box.port))
-        outcome = (await self.boxes.attempt(1, ask("t"), 1.0)).outcome
+        outcome = (await self.attempt(1, ask("t"))).outcome
         self.assertEqual(outcome, Outcome.NO_CONNECTION)
 
     async def test_a_connection_that_ends_as_it_comes_up_never_ran_anything(self) -> None:
@@ -394,7 +410,7 @@
             return line
 
         with mock.patch.object(self.boxes, "dial", short):
-            found = await self.boxes.attempt(1, ask("t", "PUT", b"scan"), 1.0)
+            found = await self.attempt(1, ask("t", "PUT", b"scan"))
         self.assertEqual(found, Ending(Outcome.NO_CONNECTION))
         self.assertEqual((self.box.counts["t"], self.boxes.open), (0, 0))
 
@@ -417,7 +433,7 @@
         await self.begin(script)
         with mock.patch.object(boxes_module, "GAP", 0.05):
             for place, text in enumerate(spoilt):
-                found = await self.boxes.attempt(1, ask(str(place), "PUT", b"scan"), 1.0)
+                found = await self.attempt(1, ask(str(place), "PUT", b"scan"))
                 self.assertEqual(found, Ending(Outcome.RESET), text[:80])
         self.assertEqual(set(self.box.counts.values()), {1})
         self.assertEqual((self.box.accepted, self.boxes.open), (len(spoilt), 0))
@@ -436,7 +452,7 @@
         await self.begin(script)
         with mock.patch.object(boxes_module, "REST", 0.0):
             for place in range(len(cases)):
-                found = await self.boxes.attempt(1, ask(str(place)), 1.0)
+                found = await self.attempt(1, ask(str(place)))
                 if isinstance(found.value, LongBody):
                     body = b"".join([piece async for piece in iterate(found.value)])
                     found = replace(found, value=body)
@@ -449,7 +465,7 @@
 
         await self.begin(script)
         for trace, read in (("first", True), ("second", False), ("third", True)):
-            found = await self.boxes.attempt(1, ask(trace), 1.0)
+            found = await self.attempt(1, ask(trace))
             self.assertEqual(found, Ending(Outcome.SERVED, trace.encode()))
             (line,) = self.boxes.pools[1].idle
             line.rested_at = 0.0
@@ -470,12 +486,12 @@
         listed(self.directory, instance("s-a", self.box.port), instance("s-b", self.box.port, cell=1))
         with mock.patch.object(boxes_module, "REST", 60):
             for trace in "ab":  # the first one rests, so that the second takes another
-                await self.boxes.attempt(1, ask(trace), 1.0)
+                await self.attempt(1, ask(trace))
             self.assertEqual((self.box.accepted, self.boxes.open), (2, 2))
-            await self.boxes.attempt(2, ask("c"), 1.0)
+            await self.attempt(2, ask("c"))
             self.assertEqual((self.boxes.open, len(self.boxes.pools[1].idle)), (2, 1))
         self.boxes.pools[1].idle[0].rested_at = 0.0
-        await self.boxes.attempt(1, ask("d"), 1.0)
+        await self.attempt(1, ask("d"))
         self.assertEqual((self.box.accepted, self.boxes.open), (3, 2))
         self.box.stop()  # the boxes close their idle connections
         await self.until(lambda: self.boxes.open == 0)
