Hear discovery before a change counts as told: own agents by overlapping looks, shared by a period

Shared discovery: heard up to 19.9 s (watches silent), 25.8 and 44.4 s (hanging until 6.1 and 17 s), 56.8 s (refusing) after it was back; 105 to 189 of 200 later than 6 s. Own agent that refuses or whose watches break: up to 56.8 s late, though what it has counts at once. Own agent that hangs: 0.9 s, which a rule of 1 s bears and one of 0.25 s (OTHER) does not, and one look in eight held the next up for 5 s. At fault: `Backoff(hosts * EACH, up to MOST)` in every branch but one (net/discovery.py), SILENCE of 5 s where a line comes every 2. Change: a watch is dead 2.3 s after its last line. Shared: a call has 2.2 s, calls begin at most 3.6 s after one another (`recovery.Pace`; at the bound each front at its own point of a period, half the calls of waits drawn anew), the first after a silence within 1.3 s: 5.8 s at the worst. Own agent: calls that are not answered get company every quarter of the rule's grace, four at most; the one answered first counts. Amid a move another agent's list no longer undoes a drain heard, and what the old one has sent in the turn in which it is replaced is still heard, as far as it says who leaves.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -115,7 +115,7 @@
         self.handed = HoldFile(config.state_dir, self.directory, self.core, self.faults)
         self.discovery = Discovery(
             config.discovery, self.directory, self.core.tell, settings.hosts, config.seed, self.faults,
-            pushed=not settings.must_watch,
+            pushed=not settings.must_watch, grace=config.drain_grace,
         )
         self.control: ControlListener | None = None
         self.metrics: MetricsListener | None = None
@@ -266,6 +266,7 @@
             self.life.retime(self.notice())
             if self.fleet:
                 self.fleet.say(settings)
+        self.discovery.keep_pace(self.config.drain_grace)
         if taken.moved:
             self.discovery.move(self.config.discovery)
 
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -22,6 +22,7 @@
 LEAST_BODIES = 4 * 1024 * 1024
 SPARE_SOCKETS = 56  # listeners, log, discovery twice, files read, connections whose end is still on its way
 MOST_SESSIONS = 32
+USUAL_GRACE = 1.0  # seconds of the rule on drains where the settings name none
 FLEET_TIMES = {"period": 0.5, "answer": 0.15, "gossip": 0.1, "sync": 10.0, "departed": 1.0, "join": 1.0}
 FRONTS = Path(__file__).resolve().parent.parent / "deploy" / "fronts.toml"
 
@@ -131,6 +132,7 @@
     zones: dict[str, int]
     dial_timeout: float
     idle_close: float
+    drain_grace: float  # seconds after a drain was told in which its box may still be sent to
     file_discovery: Address  # as the file has it, whatever RELAY_DISCOVERY says
     sftp: SftpFront | None = None
     vrrp: VrrpPeers | None = None
@@ -159,7 +161,7 @@
         self.keys = new.keys
         retired = self.follow(new)
         moved = new.file_discovery != self.file_discovery
-        self.file_discovery = new.file_discovery
+        self.file_discovery, self.drain_grace = new.file_discovery, new.drain_grace
         if moved:
             self.discovery = new.file_discovery
         return Reloaded(moved, waiting, retired)
@@ -394,6 +396,7 @@
         zones={str(zone): place for place, zone in enumerate(facts.rows("Areas", []))},
         dial_timeout=limits.number("DialTimeoutS", 0.25),
         idle_close=limits.number("IdleCloseS", 30.0),
+        drain_grace=facts.table("Safety", {}).number("StopSendingWithinS", USUAL_GRACE),
         sftp=sftp,
         vrrp=vrrp,
         fleet=fleet,
--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -1,30 +1,43 @@
-"""The watch on discovery: the list, its changes line by line, and a new start where the watch breaks."""
+"""The watch on discovery: the list, its changes line by line, and a new start where the watch breaks.
+
+What discovery has and could be reached for counts as told ``TOLD`` seconds later, whatever calls failed
+meanwhile (protocol page, Figures, and the operators' letter); what an own agent has counts at once. The
+arithmetic of both stands in ``docs/architecture.md``.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import aiohttp
 import structlog
 
 from cleatyoke import api
 from cleatyoke.config import Address
-from cleatyoke.directory import Directory, Listing
+from cleatyoke.directory import Directory, Instance, Listing
 from cleatyoke.faults import Faults, keep_up
 from cleatyoke.figures import Figures
 from cleatyoke.net.messages import BadMessage, decode_listing
-from cleatyoke.recovery import Backoff
+from cleatyoke.recovery import Pace
 
-SILENCE = 5.0  # seconds without a line, where an empty one comes every two: the watch is dead
+TOLD = 6.0  # seconds after which a change counts as told (protocol page, Figures)
+BEAT = 2.0  # seconds between the empty lines of a watch on which nothing changes (protocol page, Discovery)
+SILENCE = BEAT + 0.3  # seconds without a line after which a watch is dead: a beat, and room for a late one
+ANSWER = 2.2  # seconds for a dial and the first of an answer: a turn in an overbooked service takes two
+SLACK = 0.2  # seconds kept of ``TOLD`` for a loop that runs late
+PERIOD = TOLD - ANSWER - SLACK  # seconds between the beginnings of two calls: one that hangs costs no more
+AFTER_SILENCE = TOLD - SILENCE - ANSWER - SLACK  # seconds that the first call after a silence may wait
 EACH = 0.075  # seconds of an overbooked service that a host's call is given: it answers some ten a second
-LEAST = 0.25  # seconds that the waits of a small fleet are spread over
+LEAST = 0.25  # seconds that the waits of a small fleet are spread over, and between looks at an own agent
 MOST = 4  # times the first span that waits grow to
-DIAL = 1.0  # seconds for a connection
-FETCH = 4.0  # seconds for the whole list: a call that waits its turn for two must not be asked again
+LOOKS = 4  # parts of the time that the rule on drains leaves, in which an own agent is looked at once each
 SOON = 0.7  # seconds in which an agent of the front's own answers, unless discovery is down (protocol page)
-SHORT = 8  # looks in a row that wait only so long; one in so many waits for as long as ever
+MOST_CALLS = 4  # looks at an own agent that are out at once
+SHORT = 8  # looks that fail alike for one that is logged
+LAST_WORDS = 0.25  # seconds in which what an agent that was moved from has already sent is still heard
 MOST_LINE = 1 << 20
 log = structlog.get_logger()
 
@@ -34,22 +47,65 @@
 
     def __init__(
         self, address: Address, directory: Directory, tell: Callable[[api.Event], None],
-        hosts: int = 1, seed: int = 0, faults: Faults | None = None, pushed: bool = False,
+        hosts: int = 1, seed: int = 0, faults: Faults | None = None, pushed: bool = False, grace: float = 1.0,
     ) -> None:  # fmt: skip
         """``pushed``: lists come from an agent of the front's own, which a call costs nothing, and what it
-        has counts as told at once; else calls load a service that all fronts share."""
+        has counts as told at once; else calls load a service that all fronts share. ``grace``: seconds after
+        a change was told in which a node may still be sent to, by the rule on drains."""
         self.pushed = pushed
+        self.keep_pace(grace)
         self.address, self.directory, self.tell = address, directory, tell
-        self.hosts, self.dice = hosts, random.Random(seed)
+        self.hosts, self.rng = hosts, random.Random(seed)
         self.faults = faults or Faults(Figures())
         self.heard = asyncio.Event()  # something, in this life
         self.watches: list[Watch] = []  # the last one is on the address that counts
+        self.retired: set[Watch] = set()  # those that it has replaced, for their last words
+        self.down: dict[tuple[str, float], tuple[float, Watch]] = {}  # lives that leave: when told, by whom
+        self.withheld: dict[str, Instance] = {}  # what a list said of nodes that another agent had said leave
 
-    def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
+    def take(
+        self, listing: Listing, kind: api.ListKind | None = None, watch: Watch | None = None
+    ) -> None:
         """A list goes to the directory and, in the same turn, to the policy."""
+        if watch:
+            listing = self.compare(listing, watch)
         whole = api.ListKind.FULL if listing.whole else api.ListKind.CHANGES
         self.tell(api.NodeList(kind or whole, self.directory.apply(listing)))
 
+    def compare(self, listing: Listing, watch: Watch) -> Listing:
+        """Guards nodes that one agent has said leave against another agent's list, which may be older: amid a
+        move they go on leaving until the new agent must know better. A node that is started anew is another
+        life. Of an agent that was moved from, only what it says of leaving counts."""
+        now = asyncio.get_running_loop().time()
+        self.down = {life: told for life, told in self.down.items() if told[0] > now - TOLD}
+        if watch in self.retired:
+            leaving = [box for box in listing.instances if box.state is not api.NodeState.LIVE]
+            listing = Listing(self.directory.version or 0, False, leaving)
+        taken = []
+        for box in listing.instances:
+            life = box.name, box.started
+            self.withheld.pop(box.name, None)
+            if box.state is not api.NodeState.LIVE:
+                self.down[life] = now, watch
+            elif life in self.down and self.down[life][1] is not watch:
+                self.withheld[box.name] = box
+                asyncio.get_running_loop().call_later(TOLD, self.release, box, watch)
+                box = replace(box, state=api.NodeState.DRAINING)
+            else:
+                self.down.pop(life, None)
+            taken.append(box)
+        return replace(listing, instances=taken)
+
+    def release(self, box: Instance, watch: Watch) -> None:
+        """The new agent has stood by its word for as long as any change takes to be told."""
+        if self.withheld.get(box.name) is box:
+            self.down.pop((box.name, box.started), None)
+            self.take(Listing(self.directory.version or 0, False, [box]), None, watch)
+
+    def keep_pace(self, grace: float) -> None:
+        """Look at an own agent often enough for the rule on drains."""
+        self.every = max(LEAST / 5, min(LEAST, grace / LOOKS))
+
     def start(self) -> None:
         """Watch; an old copy of the list counts, as its versions are this agent's."""
         self.watches.append(Watch(self, self.address, self.directory.version))
@@ -61,12 +117,19 @@
         self.watches.append(Watch(self, address, None))
 
     def settled(self, watch: Watch) -> None:
-        """This one has told its whole list: from here on, what an older one says could only undo that."""
+        """This one has told its whole list: from here on, older ones may only say who leaves, in what they
+        have sent by now."""
         while self.watches and self.watches[0] is not watch:
-            self.watches.pop(0).task.cancel()
+            old = self.watches.pop(0)
+            self.retired.add(old)
+            asyncio.get_running_loop().call_later(LAST_WORDS, self.dismiss, old)
+
+    def dismiss(self, watch: Watch) -> None:
+        self.retired.discard(watch)
+        watch.task.cancel()
 
     def stop(self) -> None:
-        for watch in self.watches:
+        for watch in [*self.watches, *self.retired]:
             watch.task.cancel()
 
 
@@ -76,71 +139,122 @@
     def __init__(self, owner: Discovery, address: Address, version: int | None) -> None:
         host = f"[{address.host}]" if ":" in address.host else address.host
         self.url, self.version = f"http://{host}:{address.port}/discovery/hosts", version
-        self.backoff = Backoff(owner.dice, owner.hosts, EACH, MOST, LEAST)
-        self.failed, self.answered = 0, False
-        self.silences = 0  # in a row, since anything was heard
+        self.pace = Pace(owner.rng, owner.hosts, EACH, MOST, LEAST, PERIOD)
+        self.failed, self.answered, self.began = 0, False, 0.0
+        self.speaker: asyncio.Task[None] | None = None  # the call that was answered, of those that are out
         self.owner = owner
         self.task = asyncio.create_task(keep_up(owner.faults, "discovery", self.run, self.start_over))
 
     def start_over(self) -> float:
         """After a fault of our own: what it cut short may have held a change, so the whole list is next."""
         self.version = None
-        return self.backoff.failed()
+        return self.pace.failed()
 
     async def run(self) -> None:
         """Where a change may have been missed, the whole list comes first."""
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=DIAL, sock_read=SILENCE)
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=SILENCE)
         async with aiohttp.ClientSession(
-            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MOST_LINE
-        ) as session:
-            while True:
-                self.answered = False
+            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MOST_LINE,
+            connector=aiohttp.TCPConnector(limit=0, force_close=self.owner.pushed),
+        ) as session:  # fmt: skip
+            while self not in self.owner.retired:
+                self.answered, silent = False, False
                 try:
-                    if self.version is None:
-                        await self.fetch(session)
-                    await self.watch(session)
+                    await (self.look(session) if self.owner.pushed else self.call(session, ANSWER))
                     log.info("discovery_ended", address=self.url)
                 except BadMessage as error:
                     log.warning("discovery_line_skipped", why=str(error))
                     self.version = None  # the line may have held a change: take the whole list
                 except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-                    why = f"{type(error).__name__}: {error}"
-                    self.failed += 1
+                    self.lost(error)
                     silent = isinstance(error, TimeoutError)
-                    if not silent or self.silences % SHORT == 0:  # the short looks are many, and all alike
-                        log.warning("discovery_lost", address=self.url, why=why, failed=self.failed)
-                    if silent and self.owner.pushed:
-                        self.silences += 1
-                        await asyncio.sleep(self.owner.dice.random() * LEAST)
-                        continue
-                await asyncio.sleep(self.backoff.broke() if self.answered else self.backoff.failed())
-
-    def patience(self) -> float:
-        """Seconds for an answer to begin. Guards against drains that are told while a silent watch, or the
-        wait after one, still runs: an own agent that was silent is asked again and again, as what it gets at
-        discovery's return counts as told at once. One look in some is long, should it only be slow."""
-        return SOON if self.silences % SHORT else SILENCE
-
-    async def fetch(self, session: aiohttp.ClientSession) -> None:
-        within = min(FETCH, self.patience())
+                await asyncio.sleep(self.wait(silent))
+
+    def wait(self, silent: bool) -> float:
+        """Seconds before the next call. An own agent's calls cost nothing, so that only what a loop can do
+        bounds them."""
+        if self.owner.pushed:
+            return self.owner.rng.random() * self.owner.every
+        if self.answered:
+            return self.pace.broke(AFTER_SILENCE if silent else None)
+        return self.pace.failed(asyncio.get_running_loop().time() - self.began)
+
+    def lost(self, error: Exception) -> None:
+        if self.failed % SHORT == 0:  # they may be many, and all alike
+            why = f"{type(error).__name__}: {error}"
+            log.warning("discovery_lost", address=self.url, why=why, failed=self.failed + 1)
+        self.failed += 1
+
+    async def look(self, session: aiohttp.ClientSession) -> None:
+        """Call an own agent, which answers at once unless discovery is down, and then not even at its return.
+        What it has at that moment counts as told at once, so a call that is not answered soon gets company
+        every few moments. The first of them is waited for longest, should the agent only be slow. Whichever
+        is answered first is the watch; returns or raises as that ends."""
+        loop, calls = asyncio.get_running_loop(), list[asyncio.Task[None]]()
+        self.speaker = None
+        try:
+            while self.speaker is None:
+                calls.append(asyncio.create_task(self.call(session, SOON if calls else ANSWER)))
+                calls[-1].add_done_callback(lambda call: call.cancelled() or call.exception())  # is noted
+                until = loop.time() + self.owner.every
+                while calls and self.speaker is None and (rest := until - loop.time()) > 0:
+                    done, _ = await asyncio.wait(calls, timeout=rest, return_when=asyncio.FIRST_COMPLETED)
+                    for call in done:
+                        calls.remove(call)
+                        try:
+                            call.result()
+                        except TimeoutError as error:
+                            self.lost(error)
+                if not calls and (rest := until - loop.time()) > 0:
+                    await asyncio.sleep(rest)
+                if len(calls) > MOST_CALLS:
+                    calls.pop(1).cancel()
+            for call in calls:
+                if call is not self.speaker:
+                    call.cancel()
+            await self.speaker
+        finally:
+            for call in calls:
+                call.cancel()
+            if self.speaker:
+                self.speaker.cancel()
+
+    async def call(self, session: aiohttp.ClientSession, within: float) -> None:
+        """The whole list where it is needed, then the watch until that ends; an answer has to begin within
+        so many seconds."""
+        self.began = asyncio.get_running_loop().time()
+        if self.version is None:
+            await self.fetch(session, within)
+        self.began = asyncio.get_running_loop().time()
+        await self.watch(session, within)
+
+    async def fetch(self, session: aiohttp.ClientSession, within: float) -> None:
         async with asyncio.timeout(within), session.get(self.url, raise_for_status=True) as response:
             listing = decode_listing(await response.read())
-        self.take(listing, api.ListKind.FULL)
-        self.owner.settled(self)
+        if self.speaks():
+            self.take(listing, api.ListKind.FULL)
+            self.owner.settled(self)
 
-    async def watch(self, session: aiohttp.ClientSession) -> None:
+    async def watch(self, session: aiohttp.ClientSession, within: float) -> None:
         params = {"watch": "1", "after": str(self.version)}
-        within = asyncio.timeout(self.patience())  # for the head, and the first line, which comes with it
-        async with within, session.get(self.url, params=params, raise_for_status=True) as response:
-            self.answered, self.failed = True, 0
+        limit = asyncio.timeout(within)  # for the head, and the first line, which comes with it
+        async with limit, session.get(self.url, params=params, raise_for_status=True) as response:
             while line := await response.content.readline():
-                within.reschedule(None)
-                self.silences = 0
+                limit.reschedule(None)
+                if not self.speaks():
+                    return
+                self.answered, self.failed = True, 0
                 self.owner.heard.set()
                 if text := line.strip():
                     self.take(decode_listing(text))
 
+    def speaks(self) -> bool:
+        """Whether this call is the one that was answered first: what another one says may be older."""
+        if self.owner.pushed and self.speaker is None:
+            self.speaker = asyncio.current_task()
+        return not self.owner.pushed or self.speaker is asyncio.current_task()
+
     def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
-        self.owner.take(listing, kind)
+        self.owner.take(listing, kind, self)
         self.version = listing.version
         self.owner.heard.set()
--- a/tests/wire.py
+++ b/tests/wire.py
@@ -54,6 +54,7 @@
         zones={"basement": 0},
         dial_timeout=0.25,
         idle_close=30.0,
+        drain_grace=1.0,
     )
     return replace(base, **changes)
 
