--- a/cleatyoke/recovery.py
+++ b/cleatyoke/recovery.py
@@ -18,7 +18,7 @@
     """Waits before calls to a shared service, which all ``hosts`` may want at once.
 
     ``each`` is the time that the service is given for one host's call, in seconds, so that a span of ``hosts
-    * each``, ``least`` at the least, spreads the fleet; ``hosts`` may be infinite, where nobody tells. The span
+    * each``, ``least`` at the least, spreads the fleet; ``hosts`` is infinite where nobody tells. The span
     doubles with each failure in a row, up to ``most`` times the first. ``period``: seconds from the beginning
     of one call to that of the next at the most."""
 
