--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -17,7 +17,7 @@
 REPEATS = {"repeatable": api.Repeat.FREE, "by_key": api.Repeat.KEYED, "once": api.Repeat.ONCE}
 LOADS = ("util", "cpu")  # what a load report may call the part of a box's power in use
 MOST_WRITE = 64 * 1024  # bytes of a body, and so of an upload, unless the fronts file says less
-MOST_SOCKETS = 1024
+MOST_SOCKETS = 1024  # where the file says nothing: the deployment page's most
 BODY_SHARE = 0.45  # of the memory, for bodies
 LEAST_BODIES = 4 * 1024 * 1024
 SPARE_SOCKETS = 56  # listeners, log, discovery twice, files read, connections whose end is still on its way
--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -19,9 +19,10 @@
 from cleatyoke.rules import Policy
 
 T = TypeVar("T")
+# The first two are in no setting: they are what this process's own loop may run late by.
 ATTEMPT_MARGIN = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
 ANSWER_MARGIN = 0.015  # and the core answers by itself where the policy still has not
-SOONEST = 0.005
+SOONEST = 0.005  # the policy's word comes in the next turn of the loop, however short the deadline
 log = structlog.get_logger()
 
 
@@ -80,7 +81,7 @@
         self.policy = Policy(settings)
         self.calls: dict[str, Call] = {}
         self.events: list[api.Event] = []
-        self.bell: asyncio.TimerHandle | None = None
+        self.wake_timer: asyncio.TimerHandle | None = None
         self.numbered = 0
         self.last = math.inf  # by when every answer is due, whatever the request's own deadline
         self.listeners: list[Callable[[api.NodeList], None]] = []  # who else hears of the nodes
@@ -123,9 +124,9 @@
                     if out and not out.expired():  # a process that stood still finds both due at once
                         out.reschedule(self.loop.time())
                 case api.Wake(after, token):
-                    if self.bell:
-                        self.bell.cancel()
-                    self.bell = self.loop.call_at(self.loop.time() + after, self.tell, api.Woken(token))
+                    if self.wake_timer:
+                        self.wake_timer.cancel()
+                    self.wake_timer = self.loop.call_at(self.loop.time() + after, self.tell, api.Woken(token))
                 case api.Watch():
                     pass  # the platform's discovery is watched from the start
 
--- a/cleatyoke/emulate/traffic.py
+++ b/cleatyoke/emulate/traffic.py
@@ -156,8 +156,8 @@
         self.judge.killed(front.number, self.loop.time())
         if front.view:
             front.view.kill()
-        if front.core and front.core.bell:
-            front.core.bell.cancel()
+        if front.core and front.core.wake_timer:
+            front.core.wake_timer.cancel()
         front.core = front.directory = front.view = None
         for task in front.open:
             task.cancel()
--- a/cleatyoke/lifecycle.py
+++ b/cleatyoke/lifecycle.py
@@ -13,8 +13,8 @@
 from enum import Enum
 
 LINGER = 0.75  # seconds after SIGTERM in which everything is accepted at the least: the page's 0.7, and slack
-ANSWERS = 2.0  # times the shortest aim: what is kept for what is taken last
-EXIT = 0.15  # seconds kept for the exit itself
+ANSWERS = 2.0  # times the shortest aim: what is kept for what is taken last, a first try and another one
+EXIT = 0.15  # seconds kept for the exit itself: the last log line and Python's own end, no setting's
 
 
 class Stage(Enum):
--- a/cleatyoke/load/probes.py
+++ b/cleatyoke/load/probes.py
@@ -24,7 +24,7 @@
 
     def __init__(self, hosts: int, ramp: float, seed: int) -> None:
         """``ramp``: seconds within which a node that has started is warm."""
-        self.hosts, self.ramp, self.dice = max(1, hosts), ramp, random.Random(seed)
+        self.hosts, self.ramp, self.rng = max(1, hosts), ramp, random.Random(seed)
         self.since: dict[int, float] = {}  # live nodes: when they started
         self.order: list[int] = []  # of nodes still to ask in this round, the next one last
         self.reports: dict[int, tuple[float, float]] = {}  # node: when it was asked, part of its power in use
@@ -62,14 +62,14 @@
         if self.next_at(now) > now:
             return None
         if self.at + FRESH < now:
-            self.at = now - self.dice.random() * self.gap(now)  # hosts that hear of a start as one
+            self.at = now - self.rng.random() * self.gap(now)  # hosts that hear of a start as one
             if self.next_at(now) > now:
                 return None
         warm = set(self.warm(now))
         self.order = [node for node in self.order if node in warm]
         if not self.order:
             self.order = sorted(warm)
-            self.dice.shuffle(self.order)
+            self.rng.shuffle(self.order)
         self.at = now
         return self.order.pop()
 
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -32,9 +32,11 @@
 )  # fmt: skip
 from cleatyoke.net.sockets import unread
 
-IDLE_SHARE = 0.5  # of the boxes' idle limit, after which a pooled connection is dropped
-REST = 0.02  # seconds that a connection rests after an answer, so that what comes behind that is noticed
-GAP = 0.05  # seconds for the head of an answer, once it has begun, and between the pieces of its body
+IDLE_SHARE = 0.5  # of the boxes' idle limit (settings), after which a pooled connection is dropped
+REST = 0.02  # seconds that a connection rests after an answer: a second one comes "some milliseconds" later
+# (standing test, join), and must be noticed before the next request goes out
+GAP = 0.05  # seconds for the head of an answer, once it has begun, and between the pieces of its body: what
+# the protocol page grants every time limit; a box has its answer whole before it writes
 STALL = 10.0  # seconds without a byte, or without a reader, after which a long answer is given up
 HIGH, LOW = 256 * 1024, 64 * 1024  # bytes of a long answer held here: none more is read, it is read again
 
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -22,8 +22,8 @@
 
 MOST_WHOLE = 64 * 1024  # bytes of an answer's body that is read whole; a longer one passes on as it comes
 MOST_ANSWER = 64 * 1024 * 1024  # bytes of the longest body of a box's answer: twice what boxes send
-LONGEST_WAIT_MS = 600_000
-MOST_ID = 128
+LONGEST_WAIT_MS = 600_000  # of a header's word; the class's own time in the settings bounds it further
+MOST_ID = 128  # characters: the protocol page's have 16
 MOST_KEY = 256  # bytes of an Idempotency-Key
 MOST_HEAD = 16 * 1024  # bytes of the head of a box's answer
 MOST_REPORT = 1024  # bytes of a load report in a body that are looked at
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -22,18 +22,20 @@
 from cleatyoke.net.messages import Ask, BadKey, BadMessage, SpoiltAnswer, decode_ask
 from cleatyoke.net.sockets import Listener, PartingTransport, ended, unread
 
+# Of clients the settings tell only how long they wait for an answer, and the protocol page nothing of how
+# long they keep a connection: these times are about descriptors and bad clients, and cost no request taken.
 IDLE = 2.1  # seconds that a client's connection may stand without a request
 HEAD = 2.6  # seconds for the rest of a head whose first byte has come, where IDLE ends amid it
 SLOW_HEAD = 0.6  # seconds after which a head that is not whole may make room for another connection
 BODY = bodies.GRACE  # seconds for a short body to come
 LOOK = 0.02  # seconds between looks for room in memory, while a body waits for it
 MOST_HEAD = 4096  # bytes of a line or a field of a head
-MOST_FIELDS = 64
+MOST_FIELDS = 64  # of a head: the protocol page's has nine
 MOST_BEHIND = 64 * 1024  # bytes behind a request that are read and thrown away before its answer
 SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
-REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken
+REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken: each request has its own
 READ = 0.001  # seconds until what has come is read: the loop reads before it looks at its timers
-SWEEP = 0.05  # seconds between looks for idle connections while the front drains
+SWEEP = 0.05  # seconds between looks for idle connections while the front drains or leaves
 DRAIN_SILENT = 0.3  # seconds for which a new connection may stand without a request while the front drains
 CUT = web.ResponseKey("cut", bool)  # of an answer: its box did not give the whole of it
 log = structlog.get_logger()
--- a/cleatyoke/net/sockets.py
+++ b/cleatyoke/net/sockets.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable
 from typing import Any
 
-ACCEPTED = 32  # connections accepted in one turn of the loop
-BACKLOG = 512  # connections that the kernel holds until they are accepted
-PAUSE = 0.01  # seconds until the next look for room
-PART = 1.0  # seconds for which a peer is read on after the sending side was shut; none of its settings tells
-MOST_PART = 1 << 20  # bytes that are read and thrown away then
+ACCEPTED = 32  # connections accepted in one turn of the loop: so long others wait for theirs
+BACKLOG = 512  # connections that the kernel holds until they are accepted: half of the most descriptors
+PAUSE = 0.01  # seconds until the next look for room: none ends sooner than a round trip and an answer
+PART = 1.0  # seconds for which a peer is read on after the sending side was shut: many round trips, and no
+# setting tells how long a client takes to read an answer that has come
+MOST_PART = 1 << 20  # bytes that are read and thrown away then: more than the kernel holds on the way
 MOST_LOOKS = 10  # times ``PART`` for a peer that does not read what was written
 
 
@@ -145,7 +146,7 @@
     def __init__(self, transport: PartingTransport) -> None:
         self.transport, self.left, self.looks = transport, MOST_PART, 0
         self.loop = asyncio.get_running_loop()
-        self.bell = self.loop.call_later(PART, self.look)
+        self.timer = self.loop.call_later(PART, self.look)
 
     def look(self) -> None:
         """A peer that reads slowly has the rest of its answer first."""
@@ -153,7 +154,7 @@
         if self.transport.flushed() or self.looks >= MOST_LOOKS:
             self.transport.inner.abort()
         else:
-            self.bell = self.loop.call_later(PART, self.look)
+            self.timer = self.loop.call_later(PART, self.look)
 
     def data_received(self, data: bytes) -> None:
         self.left -= len(data)
@@ -161,7 +162,7 @@
             self.transport.inner.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.bell.cancel()
+        self.timer.cancel()
         self.transport.parted(self.transport)
 
 
@@ -200,11 +201,11 @@
         self.socket.setblocking(False)
         self.shared = inherited is not None
         self.tasks: set[asyncio.Task[None]] = set()
-        self.bell: asyncio.TimerHandle | None = None
+        self.pause_timer: asyncio.TimerHandle | None = None
         self.resume()
 
     def resume(self) -> None:
-        self.bell = None
+        self.pause_timer = None
         self.loop.add_reader(self.socket, self.accept)
 
     def accept(self) -> None:
@@ -228,7 +229,7 @@
 
     def wait(self) -> None:
         self.loop.remove_reader(self.socket)
-        self.bell = self.loop.call_later(PAUSE, self.resume)
+        self.pause_timer = self.loop.call_later(PAUSE, self.resume)
 
     async def connect(self, protocol: asyncio.Protocol, connection: socket.socket) -> None:
         try:
@@ -242,8 +243,8 @@
     def close(self) -> None:
         """What the kernel holds is accepted first, as far as there is room: requests on it count as taken,
         and the close would reset them. Where the socket is another process's too, that one accepts them."""
-        if self.bell:
-            self.bell.cancel()
+        if self.pause_timer:
+            self.pause_timer.cancel()
         if self.socket.fileno() < 0:
             return
         self.loop.remove_reader(self.socket)
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -20,16 +20,16 @@
 FIT = 5  # intervals in a slope fit: the design's
 STEP = 0.05  # most a normalized bound moves in an interval: the paper's
 NODE_CAP = 8.0  # most slots a node: the design's default for the host's cap
-MARGIN = 0.04  # seconds kept clear of a deadline or memory: looks and sends take time
-IDLE = 60.0  # seconds after which an unused volume is forgotten: a reserve has long filled up again
+MARGIN = 0.04  # seconds kept clear of a deadline or memory: looks and sends take time, in no setting
+IDLE = 60.0  # seconds after which an unused volume is forgotten: reserve and limit have long refilled
 QUEUE_SHARE = 0.125  # part of the tightest aim to wait at a node; the rest is for service and the held queue
 OVERDUE = 30.0  # times what an answer should take, by the part of the worth that a late one earns: how long
 # an attempt may be out, or its aim if longer
 LOST = 0.4  # of the aim: the least for which an attempt whose answer seems lost may be out
-OTHERS = 1.0  # seconds over which the use of volumes through other hosts is averaged
+OTHERS = 1.0  # seconds over which the use of volumes through other hosts is averaged: dues go by seconds
 SPARE_MOST = 64.0  # times its start that a node's spare rate may reach: all that a volume asks
 ROOM_MOST = 2.0  # times its usual rate that a host may count on at a cold node, however idle the nodes are
-SLACK_SHARE = 0.5  # of the slack of a limit, which hosts that start may use at once
+SLACK_SHARE = 0.5  # of the settings' slack of a limit, which hosts that start may use at once
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
 
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -246,7 +246,8 @@
             young = [await self.raw() for _ in range(2)]
             await self.until(lambda: len(self.front.clients) == 2)
             waiting = await self.raw(self.head("t"))
-            await self.until(lambda: self.front.listener and self.front.listener.bell)  # it waits for room
+            listener = self.front.listener
+            await self.until(lambda: listener and listener.pause_timer)  # it waits for room
         for one in self.front.silent:
             one.came = 0.0
         for place, (_, writer) in enumerate(young):
