Spare slow heads and bodies whose last bytes have come when room is made or their time is up

Seen by reading: `Front.room` evicted a slow head without a look at what the kernel holds, and a body's time limit fell on bytes that came in the same turn of the loop (asyncio reads before it runs timers, but the timer cancels the read) or were unread; both end a request whose last byte has come, the first without an answer. Change: room looks for unread bytes at slow heads too; a body whose time is up is looked at once more. `left_unanswered` is told only where a call is open, no longer for peers that have not closed yet.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -299,7 +299,7 @@
                             closing = asyncio.create_task(self.files.close(patience))
                         case Order.STOP_ACCEPTING:
                             self.front.stop_accepting()
-                        case Order.ABANDON:
+                        case Order.ABANDON if self.core.calls:  # else only peers that have not closed yet
                             log.warning("left_unanswered", open=len(self.core.calls))
                         case Order.RELEASE:
                             self.release()
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -213,7 +213,7 @@
                 return True
         slow = self.core.loop.time() - SLOW_HEAD
         for one in self.idle:  # a head may take its time while there is room
-            if 0 < one.began <= slow:
+            if 0 < one.began <= slow and one.transport is not None and not unread(one.transport):
                 one.evict()
                 return True
         return False
@@ -281,11 +281,18 @@
     async def gather(self, request: web.BaseRequest, client: Client) -> list[bytes]:
         """The body in the pieces that came. It is read only as fast as there is room for it in memory."""
         pieces: list[bytes] = []
-        size, began, waited = 0, self.core.loop.time(), 0.0
+        size, began, waited, spared = 0, self.core.loop.time(), 0.0, False
         while True:
             limit = began + waited + bodies.patience(size, BODY)
-            async with asyncio.timeout_at(limit):
-                piece = await request.content.readany()
+            try:
+                async with asyncio.timeout_at(limit):
+                    piece = await request.content.readany()
+            except TimeoutError:
+                await asyncio.sleep(READ)  # what has come in the same turn, or is unread, counts once
+                piece = request.content.read_nowait()
+                if spared or not (piece or request.content.is_eof()):
+                    raise
+                spared = True
             if not piece:
                 return pieces
             size += len(piece)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -215,6 +215,49 @@
         transport.resume_reading()
         self.assertIn(b" 200 ", await streams[0].readline())
 
+    async def test_room_is_not_made_by_a_slow_head_whose_last_byte_has_come(self) -> None:
+        client, streams = await self.meet(at_once, self.head("t")[:30])
+        await self.until(lambda: client.began)
+        self.front.most_clients = 1
+        client.began = client.came = 0.001
+        transport = await self.unread(client, streams, self.head("t")[30:])
+        self.assertFalse(self.front.room())
+        transport.resume_reading()
+        self.assertIn(b" 200 ", await streams[0].readline())
+
+    async def body_limit(self, read_first: bool) -> None:
+        """The last bytes of a body come in the turn in which its time is up, or are unread then."""
+        head = self.head("t", "Content-Length: 9", method="PUT").replace(b"tile-read", b"record-write")
+        client, streams = await self.meet(at_once, head + b"half")
+        await self.until(lambda: client.busy)
+        await asyncio.sleep(0.02)  # it waits for the rest
+        loop: Any = asyncio.get_running_loop()
+        timers = [one for one in loop._scheduled if "Timeout" in repr(one) and not one.cancelled()]
+        (timer,) = [one for one in timers if 1.0 < one.when() - loop.time() < 3.0]
+        if read_first:
+            client.data_received(b"there")
+        else:
+            (await self.unread(client, streams, b"there")).resume_reading()
+        timer._run()  # the loop finds it due now
+        async with asyncio.timeout(5):
+            self.assertIn(b" 200 ", await streams[0].readline())
+        self.assertEqual(self.box.bodies["t"], b"halfthere")
+
+    async def test_the_body_limit_does_not_fall_on_what_was_read_in_the_same_turn(self) -> None:
+        await self.body_limit(read_first=True)
+
+    async def test_the_body_limit_does_not_fall_on_what_is_unread(self) -> None:
+        await self.body_limit(read_first=False)
+
+    async def test_small_writes_are_never_held_back(self) -> None:
+        client, streams = await self.meet(at_once, self.head("t"))
+        self.assertIn(b" 200 ", await streams[0].readuntil(b"tile"))
+        (line,) = self.boxes.pools[1].idle
+        for transport in (self.transport(client), line.transport):
+            assert transport
+            one = transport.get_extra_info("socket")
+            self.assertTrue(one.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+
     async def test_a_connection_is_idle_only_once_its_answer_is_written(self) -> None:
         seen: list[bool] = []
         client, streams = await self.meet()
