--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -291,3 +291,50 @@
         self.assertEqual(len(asked), 2)
         discovery.stop()
         server.close()
+
+    async def answered(self, first: bytes, pushed: bool) -> list[str]:
+        """What is asked of an agent whose first watch begins like this and ends, or stands; whose later
+        answers are whole. Returns once the drain that it has since is heard."""
+        asked: list[str] = []
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                target = (await reader.readuntil(b"\r\n\r\n")).decode().split()[1]
+                asked.append(target)
+                if "watch" not in target:
+                    text = json.dumps(whole("DRAINING"), indent=2).encode()
+                    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text))
+                    continue
+                head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                writer.write(head + (first if len(asked) == 1 else chunk(line("DRAINING"))))
+                if first and len(asked) == 1:
+                    writer.close()
+                    return
+                await reader.read()
+                return
+
+        server = await asyncio.start_server(talk, "127.0.0.1", 0)
+        directory = Directory({})
+        directory.apply(Listing(7, True, [instance("s-a", 1)]))
+        address = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        discovery = Discovery(address, directory, lambda event: None, 200, pushed=pushed)
+        discovery.start()
+        async with asyncio.timeout(TOLD):
+            while directory.serves(1):
+                await asyncio.sleep(0.005)
+        discovery.stop()
+        server.close()
+        return asked
+
+    async def test_half_a_line_and_the_end_is_followed_by_the_whole_list(self) -> None:
+        half = chunk(line("DRAINING"))[:60]
+        for pushed in (True, False):
+            with self.subTest(pushed=pushed):
+                await self.answered(half, pushed)
+        cut = b"1e\r\n" + json.dumps(line("DRAINING")).encode()[:30] + b"\r\n0\r\n\r\n"  # and in good order
+        self.assertEqual((await self.answered(cut, True))[1], "/discovery/hosts")
+
+    async def test_a_watch_that_answers_a_head_and_then_nothing_is_asked_again(self) -> None:
+        for pushed in (True, False):
+            with self.subTest(pushed=pushed):
+                self.assertGreaterEqual(len(await self.answered(b"", pushed)), 2)
