End a connection after a long answer amid which more has come from its client

Seen by reading: the head of a long answer says that the connection goes on; bytes behind its request that come after that were thrown away, and a client would have waited on the connection for an answer that nobody owes it any more. Change: `Client.give_back` ends the connection after the answer. Result: a test that is red without it.

--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -103,6 +103,8 @@
 
     def give_back(self) -> None:
         self.busy = self.whole = False
+        if self.surplus:  # it came after the head of the answer, which said that the connection goes on
+            self.close()
         if self.transport is not None:
             self.front.idle[self] = self._loop.time()
 
