Answer a request behind which more has come with one 400, in place of its box's answer

Change: bytes behind a request that waits for its answer call its attempt off and answer 400 with the close; amid a long answer they cut it off, as before. What added for that case is gone with it.

--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -31,7 +31,6 @@
 LOOK = 0.02  # seconds between looks for room in memory, while a body waits for it
 MOST_HEAD = 4096  # bytes of a line or a field of a head
 MOST_FIELDS = 64  # of a head: the protocol page's has nine
-MOST_BEHIND = 64 * 1024  # bytes behind a request that are read and thrown away before its answer
 SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
 REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken: each request has its own
 READ = 0.001  # seconds until what has come is read: the loop reads before it looks at its timers
@@ -54,7 +53,7 @@
         self.came = self._loop.time()
         self.began = 0.0  # when the first byte of a message came whose head is not whole yet; 0: none has
         self.busy = self.whole = False  # a message is in hand; and nothing of it is still to come
-        self.surplus, self.behind = False, 0  # something came behind it; so many bytes
+        self.turn: asyncio.Timeout | None = None  # the request's, while it waits for its answer
         self.spared = False  # bytes that nobody had read kept it from being closed once
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -81,12 +80,12 @@
     def data_received(self, data: bytes) -> None:
         if self.whole:
             # Guards the box and the next request: what comes behind a request before its answer is no
-            # message of this protocol, and may be hidden in a length that is wrong. It is thrown away; the
-            # request that was taken is owed its answer all the same, and the connection ends with it.
-            self.surplus = True
-            self.behind += len(data)
-            if self.behind > MOST_BEHIND and self.transport is not None:
-                self.transport.pause_reading()
+            # message of this protocol, and may be hidden in a length that is wrong. Such a client is owed an
+            # error or a close, and never an answer as though its request had run.
+            if self.turn is None:  # an answer is passing on, or written
+                self.force_close()
+            elif not self.turn.expired():
+                self.turn.reschedule(self._loop.time())
             return
         super().data_received(data)
         if self._messages:
@@ -96,15 +95,13 @@
 
     def crowded(self) -> bool:
         """More than the message in hand has come."""
-        return self.surplus or bool(self._messages)
+        return bool(self._messages)
 
     def take(self) -> None:
         self.busy, self.began, self.spared = True, 0.0, False
 
     def give_back(self) -> None:
         self.busy = self.whole = False
-        if self.surplus:  # it came after the head of the answer, which said that the connection goes on
-            self.close()
         if self.transport is not None:
             self.front.idle[self] = self._loop.time()
 
@@ -371,7 +368,16 @@
             deadline=deadline,
             hosts=ask.hosts,
         )
-        match await self.core.serve(arrival, attempt):
+        try:
+            async with asyncio.timeout(None) as client.turn:
+                served = await self.core.serve(arrival, attempt)
+        except TimeoutError:  # more came behind it
+            response = web.Response(status=400, text="one request at a time\n")
+            response.force_close()
+            return response
+        finally:
+            client.turn = None
+        match served:
             case Served(LongBody() as body):
                 return await self.pass_on(body, request, client)
             case Served(body):
