Wait longer for an own agent's first answer beside others, and let lines to nobody tell nothing

There lists are late: the agent holds each line for 2 s, and beats too, so that a watch is dropped after 2.3 s and others are called; the agent went on with the lines of calls that the front had closed and the judge counted those as heard. Also: a call that has fetched the whole list goes on as the watch without company, so that a silence just then was not looked at for 2.2 s; and an agent slower than 2.2 s would never have been heard. Change: standin/agent.py ends with a connection that its front has closed (a test of its own); discovery.py gives the first call 6 s, the calls beside it 0.7 s as before, the watch right after a list one look's time; the silence is counted from whole lines.

--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -153,7 +153,7 @@
 
     async def run(self) -> None:
         """Where a change may have been missed, the whole list comes first."""
-        timeout = aiohttp.ClientTimeout(total=None, sock_read=SILENCE)
+        timeout = aiohttp.ClientTimeout(total=None)  # each wait has its own
         async with aiohttp.ClientSession(
             timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MOST_LINE,
             connector=aiohttp.TCPConnector(limit=0, force_close=self.owner.pushed),
@@ -195,7 +195,7 @@
         self.speaker = None
         try:
             while self.speaker is None:
-                calls.append(asyncio.create_task(self.call(session, SOON if calls else ANSWER)))
+                calls.append(asyncio.create_task(self.call(session, SOON if calls else TOLD)))
                 calls[-1].add_done_callback(lambda call: call.cancelled() or call.exception())  # is noted
                 until = loop.time() + self.owner.every
                 while calls and self.speaker is None and (rest := until - loop.time()) > 0:
@@ -226,6 +226,8 @@
         self.began = asyncio.get_running_loop().time()
         if self.version is None:
             await self.fetch(session, within)
+            if self.owner.pushed:
+                within = self.owner.every  # it answers, and this call has no company any more
         self.began = asyncio.get_running_loop().time()
         await self.watch(session, within)
 
@@ -238,10 +240,10 @@
 
     async def watch(self, session: aiohttp.ClientSession, within: float) -> None:
         params = {"watch": "1", "after": str(self.version)}
-        limit = asyncio.timeout(within)  # for the head, and the first line, which comes with it
+        loop, limit = asyncio.get_running_loop(), asyncio.timeout(within)  # for the head and the first line
         async with limit, session.get(self.url, params=params, raise_for_status=True) as response:
             while line := await response.content.readline():
-                limit.reschedule(None)
+                limit.reschedule(loop.time() + SILENCE)
                 if not self.speaks():
                     return
                 self.answered, self.failed = True, 0
--- a/cleatyoke/standin/agent.py
+++ b/cleatyoke/standin/agent.py
@@ -58,7 +58,7 @@
             while self.spoils == "silent":
                 await asyncio.sleep(0.1)
             if "watch=1" in target:
-                await self.watch(writer, int(target.partition("after=")[2] or 0))
+                await self.watch(reader, writer, int(target.partition("after=")[2] or 0))
             else:
                 await self.whole(writer)
 
@@ -71,12 +71,14 @@
         writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         await writer.drain()
 
-    async def watch(self, writer: asyncio.StreamWriter, after: int) -> None:
+    async def watch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, after: int) -> None:
         writer.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n")
         first = True
         while not writer.transport.is_closing():
             if self.registry.version > after or first:
                 await asyncio.sleep(self.late)
+                if reader.at_eof():
+                    return  # the front has closed it: what is written to nobody tells nobody
                 listing = self.registry.listing(after)
                 after, first = int(listing["generation"]), False
                 line = {"garble": b'{"generation":', "empty": b""}.get(self.spoils)
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -7,9 +7,11 @@
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from cleatyoke import api
 from cleatyoke.config import BadConfig
+from cleatyoke.standin.agent import Agent, Registry
 from cleatyoke.standin.box import Box
 from cleatyoke.standin.judge import Asked, Form, Judge
 from cleatyoke.standin.model import BoxModel, Fate, chance
@@ -205,6 +207,28 @@
         self.assertGreater(after, 0.35)
 
 
+class AgentCase(unittest.IsolatedAsyncioTestCase):
+    async def test_a_line_for_a_watch_that_the_front_has_closed_tells_it_nothing(self) -> None:
+        """Lists late by more than the front waits: it asks again, and only what it could read counts."""
+        registry, told = Registry(), list[tuple[int, str]]()
+        await registry.set("s-0", lifecycle="SERVING")
+        judge = mock.Mock()
+        judge.drains = lambda front, name, at: told.append((front, name))
+        agent = Agent(0, registry, judge, asyncio.get_running_loop().time)
+        agent.late = 0.2
+        await agent.start()
+        for stays in (False, True):
+            reader, writer = await asyncio.open_connection("127.0.0.1", agent.port)
+            writer.write(b"GET /discovery/hosts?watch=1&after=0 HTTP/1.1\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            if not stays:
+                writer.close()
+            await asyncio.sleep(0.4)
+            self.assertEqual(told, [(0, "s-0")] * stays)
+            writer.close()
+        agent.stop()
+
+
 class ScenarioCase(unittest.TestCase):
     def test_faults_are_named(self) -> None:
         good = {"fleet": {"fronts": 2, "boxes": 4, "seconds": 3.0}, "load": {"rate": 10}}
