Let no peer that doesn't end its connection hold up the exit for more than 0.1 s

Since connections whose answer has gone out counted as open until their client ended them too, for up to 1 s, so that an exit could wait for its last moment, 0.15 s before the kill, which a busy machine does not keep. Change: `Front.open` counts them for 0.1 s, or while a byte of the answer is still here. The whole suite was not run on this commit.

--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -34,6 +34,7 @@
 SILENT = 0.03  # seconds after which a connection that has not spoken may make room for another
 REMEMBERED = 2.0  # seconds after its answer for which an id still counts as taken: each request has its own
 READ = 0.001  # seconds until what has come is read: the loop reads before it looks at its timers
+READ_BY = 0.1  # seconds in which an answer that has left is read: many round trips, and no setting tells
 SWEEP = 0.05  # seconds between looks for idle connections while the front drains or leaves
 DRAIN_SILENT = 0.3  # seconds for which a new connection may stand without a request while the front drains
 CUT = web.ResponseKey("cut", bool)  # of an answer: its box did not give the whole of it
@@ -242,8 +243,12 @@
         self.parting.pop(transport, None)
 
     def open(self) -> int:
-        """Connections on which something may still be owed, and those whose answer is not surely read."""
-        return len(self.clients) + len(self.parting)
+        """Connections on which something may still be owed, and those whose answer may not be read yet: it
+        has not left, or so lately that its reader had no time. Others hold up no exit."""
+        late = self.core.loop.time() - READ_BY
+        return len(self.clients) + sum(
+            since > late or not parting.flushed() for parting, since in self.parting.items()
+        )
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         client = request.protocol
