Let one change, a rest and a request cost alike at any number of nodes, and take long lists in parts

Cause: Directory.apply copied and scanned all boxes for each change; Policy.on_list rebuilt the holders of all cells and woke all of them; the control round went over all nodes and volumes' shares each second; with a budget of repeats every arrival touched every node; the prober listed all warm nodes at each look. A whole list held the loop until it was applied, and one over 1 MiB ended its watch for ever. Tests moved with the state: test_layers, test_guards and test_random name policy.table and Volume.shares; they ask the same. allocate() takes the nodes in use, so test_layers marks those with demand as active.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -24,7 +24,8 @@
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.discovery import Discovery
 from cleatyoke.net.handover import HoldFile, Lives
-from cleatyoke.net.messages import BadMessage, read_listing
+from cleatyoke.net.listings import read_listing
+from cleatyoke.net.messages import BadMessage
 from cleatyoke.net.ops import Commands, ControlListener
 from cleatyoke.net.server import Front
 from cleatyoke.net.sockets import NotListening
--- a/cleatyoke/directory.py
+++ b/cleatyoke/directory.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, replace
 from itertools import count
 
 from cleatyoke import api
@@ -43,6 +43,7 @@
         self.counted = count(1)  # a number is never given twice
         self.gone: dict[str, None] = {}  # boxes that are not listed, the first to go first
         self.boxes: dict[int, Instance] = {}
+        self.leaving: set[int] = set()  # of these, those that discovery lists as not live
         self.version: int | None = None
         self.watchers: list[Callable[[int], None]] = []
         self.holds = Holds()  # boxes disabled by hand, by id
@@ -55,6 +56,11 @@
         """Whether any list named the box; safe from another thread."""
         return name in self.numbers
 
+    def latest(self, name: str) -> Instance | None:
+        """The latest word on a box, if it is listed."""
+        node = self.numbers.get(name)
+        return None if node is None else self.boxes.get(node)
+
     def entry(self, node: int, box: Instance) -> api.NodeEntry:
         """A box as the policy sees it: one held by hand drains, one released was started anew."""
         state = api.NodeState.DRAINING if self.holds.holds(box.name) else box.state
@@ -74,23 +80,21 @@
 
     def down(self) -> int:
         """Listed boxes that nothing is sent to: held by hand, or draining."""
-        return sum(1 for node in list(self.boxes) if not self.serves(node))
+        held = (self.numbers.get(name) for name in list(self.holds.held))
+        return len(self.leaving | {node for node in held if node in self.boxes})
 
     def apply(self, listing: Listing) -> list[api.NodeEntry]:
-        """Take in a list and return its entries for the policy."""
-        before = dict(self.boxes)
+        """Take in a list and return its entries for the policy. Changes cost by how many they are."""
+        before: dict[int, Instance] = {}
         if listing.whole:
-            self.boxes.clear()
+            for box in self.absent({box.name for box in listing.instances}):
+                before[self.numbers[box.name]] = box
+                self.put(replace(box, state=api.NodeState.GONE))
         entries = []
         for box in listing.instances:
-            if box.name not in self.numbers:
-                self.numbers[box.name] = next(self.counted)
-            node = self.numbers[box.name]
-            if box.state is api.NodeState.GONE:
-                self.boxes.pop(node, None)
-            else:
-                self.boxes[node] = box
-            entries.append(self.entry(node, box))
+            if (node := self.numbers.get(box.name)) is not None and (known := self.boxes.get(node)):
+                before.setdefault(node, known)
+            entries.append(self.entry(self.put(box), box))
         self.version = listing.version
         self.forget()
         for node, box in before.items():
@@ -99,10 +103,28 @@
                     watcher(node)
         return entries
 
+    def absent(self, names: Collection[str]) -> list[Instance]:
+        """The listed boxes that are not among these."""
+        return [box for box in self.boxes.values() if box.name not in names]
+
+    def put(self, box: Instance) -> int:
+        """Keep the latest word on one box; returns its number."""
+        if box.name not in self.numbers:
+            self.numbers[box.name] = next(self.counted)
+        node = self.numbers[box.name]
+        self.leaving.discard(node)
+        if box.state is api.NodeState.GONE:
+            self.boxes.pop(node, None)
+            self.gone.setdefault(box.name)
+            return node
+        self.boxes[node] = box
+        self.gone.pop(box.name, None)
+        if box.state is not api.NodeState.LIVE:
+            self.leaving.add(node)
+        return node
+
     def forget(self) -> None:
         """Guards the memory of a long life in which boxes are replaced under new names all the time."""
-        unlisted = [name for name, node in self.numbers.items() if node not in self.boxes]
-        self.gone = {name: None for name in self.gone if self.numbers[name] not in self.boxes}
-        self.gone.update(dict.fromkeys(unlisted))
-        for name in list(self.gone)[: max(0, len(self.gone) - MOST_GONE)]:
+        while len(self.gone) > MOST_GONE:
+            name = next(iter(self.gone))
             del self.gone[name], self.numbers[name]
--- a/cleatyoke/load/probes.py
+++ b/cleatyoke/load/probes.py
@@ -12,6 +12,7 @@
 import random
 
 from cleatyoke import api
+from cleatyoke.load.rounds import RandomRounds
 
 PERIOD = 1.0  # seconds between two probes of a node, of all hosts together
 LEAST = 0.15  # seconds between two probes of a host
@@ -25,53 +26,57 @@
     def __init__(self, hosts: int, ramp: float, seed: int) -> None:
         """``ramp``: seconds within which a node that has started is warm."""
         self.hosts, self.ramp, self.rng = max(1, hosts), ramp, random.Random(seed)
-        self.since: dict[int, float] = {}  # live nodes: when they started
-        self.order: list[int] = []  # of nodes still to ask in this round, the next one last
+        self.ramp_ends: dict[int, float] = {}  # cold nodes: when they are warm
+        self.warm = RandomRounds(self.rng)
         self.reports: dict[int, tuple[float, float]] = {}  # node: when it was asked, part of its power in use
         self.at = -math.inf  # of the latest probe
 
     def listed(self, news: api.NodeList) -> None:
         if news.kind in (api.ListKind.FULL, api.ListKind.OLD_COPY):
-            self.since.clear()
+            listed = {entry.node for entry in news.entries}
+            for node in [node for node in (*self.warm, *self.ramp_ends) if node not in listed]:
+                self.forget(node)
         for entry in news.entries:
-            if entry.state is api.NodeState.LIVE:
-                self.since[entry.node] = entry.up_since
+            if entry.state is not api.NodeState.LIVE:
+                self.forget(entry.node)
+            elif entry.up_since > 0:
+                self.warm.discard(entry.node)
+                self.ramp_ends[entry.node] = entry.up_since + self.ramp
             else:
-                self.since.pop(entry.node, None)
-        self.reports = {node: told for node, told in self.reports.items() if node in self.since}
+                self.ramp_ends.pop(entry.node, None)
+                self.warm.add(entry.node)
 
-    def cold_until(self) -> float:
-        """When the last of the cold nodes is warm; nothing is asked from then on."""
-        starts = [since + self.ramp for since in self.since.values() if since > 0]
-        return max(starts, default=-math.inf)
+    def forget(self, node: int) -> None:
+        self.warm.discard(node)
+        self.ramp_ends.pop(node, None)
+        self.reports.pop(node, None)
 
-    def warm(self, now: float) -> list[int]:
-        return [node for node, since in self.since.items() if since <= 0 or since + self.ramp <= now]
+    def look(self, now: float) -> None:
+        """Nodes whose time has come are warm from here on."""
+        for node in [node for node, end in self.ramp_ends.items() if end <= now]:
+            del self.ramp_ends[node]
+            self.warm.add(node)
 
-    def gap(self, now: float) -> float:
-        return max(LEAST, PERIOD * self.hosts / max(1, len(self.warm(now))))
+    def gap(self) -> float:
+        return max(LEAST, PERIOD * self.hosts / max(1, len(self.warm)))
 
     def next_at(self, now: float) -> float:
         """When ``step`` has something to do; infinite while no node is cold, or none is warm."""
-        if now >= self.cold_until() or not self.warm(now):
+        self.look(now)
+        if not self.ramp_ends or not self.warm:
             return math.inf
-        return max(now, self.at + self.gap(now))
+        return max(now, self.at + self.gap())
 
     def step(self, now: float) -> int | None:
         """The node to probe now, if it is time to."""
         if self.next_at(now) > now:
             return None
         if self.at + FRESH < now:
-            self.at = now - self.rng.random() * self.gap(now)  # hosts that hear of a start as one
+            self.at = now - self.rng.random() * self.gap()  # hosts that hear of a start as one
             if self.next_at(now) > now:
                 return None
-        warm = set(self.warm(now))
-        self.order = [node for node in self.order if node in warm]
-        if not self.order:
-            self.order = sorted(warm)
-            self.rng.shuffle(self.order)
         self.at = now
-        return self.order.pop()
+        return self.warm.take()
 
     def told(self, node: int, now: float, busy: float | None) -> None:
         """What a probe brought. None: no answer, or none that can be read. A node that does not answer may be
@@ -81,6 +86,6 @@
     def busy(self, now: float) -> float:
         """Mean part of the nodes' power in use; all of it while too little is known."""
         fresh = [part for at, part in self.reports.values() if at + FRESH >= now]
-        if len(fresh) < min(ENOUGH, max(1, len(self.warm(now)))):
+        if len(fresh) < min(ENOUGH, max(1, len(self.warm))):
             return 1.0
         return sum(fresh) / len(fresh)
--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -10,7 +10,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import replace
 
 import aiohttp
@@ -21,7 +21,17 @@
 from cleatyoke.directory import Directory, Instance, Listing
 from cleatyoke.faults import Faults, keep_up
 from cleatyoke.figures import Figures
-from cleatyoke.net.messages import BadMessage, decode_listing
+from cleatyoke.net.listings import (
+    AT_ONCE,
+    LONG,
+    ListTooLong,
+    collection_put_off,
+    decode_listing,
+    decode_long_listing,
+    read_body,
+    read_lines,
+)
+from cleatyoke.net.messages import BadMessage
 from cleatyoke.recovery import Pace
 
 TOLD = 6.0  # seconds after which a change counts as told (protocol page, Figures)
@@ -39,7 +49,7 @@
 MOST_CALLS = 4  # looks at an own agent that are out at once
 SHORT = 8  # looks that fail alike for one that is logged
 LAST_WORDS = 0.25  # seconds in which what an agent that was moved from has already sent is still heard
-MOST_LINE = 1 << 20
+READ_AHEAD = 1 << 18  # bytes that are taken from a connection before they are looked at
 log = structlog.get_logger()
 
 
@@ -73,6 +83,35 @@
         whole = api.ListKind.FULL if listing.whole else api.ListKind.CHANGES
         self.tell(api.NodeList(kind or whole, self.directory.apply(listing)))
 
+    async def take_long(self, listing: Listing, watch: Watch) -> None:
+        """A long list, in parts between which the event loop goes on; it is empty afterwards. Who drains or
+        is gone comes first, in one turn; nodes of which nothing new is said are passed over. The directory's
+        version is the new one only once all is taken."""
+        directory, latest = self.directory, {box.name: box for box in listing.instances}
+        names, version = frozenset(latest), directory.version or 0
+        listing.instances.clear()  # given back in parts, as to free them all in one turn takes long
+        await asyncio.sleep(0)
+        leaving = [box for box in latest.values() if box.state is not api.NodeState.LIVE]
+        self.take(Listing(version, False, leaving + self.not_in(listing, names, watch)), None, watch)
+        for box in leaving:
+            del latest[box.name]
+        while latest:
+            await asyncio.sleep(0)
+            if watch in self.retired:  # a newer agent's list has come, and holds
+                return
+            part = [latest.popitem()[1] for _ in range(min(AT_ONCE, len(latest)))]
+            if news := [box for box in part if directory.latest(box.name) != box]:
+                self.take(Listing(version, False, news), None, watch)
+        await asyncio.sleep(0)
+        # Again, as another watch may have told of more nodes meanwhile.
+        self.take(Listing(listing.version, False, self.not_in(listing, names, watch)), None, watch)
+
+    def not_in(self, listing: Listing, names: Collection[str], watch: Watch) -> list[Instance]:
+        """The nodes that a whole list no longer has, as gone; of an agent that was moved from it proves
+        nothing that one is missing."""
+        absent = self.directory.absent(names) if listing.whole and watch not in self.retired else []
+        return [replace(box, state=api.NodeState.GONE) for box in absent]
+
     def compare(self, listing: Listing, watch: Watch) -> Listing:
         """Guards nodes that one agent has said leave against another agent's list, which may be older: amid a
         move they go on leaving until the new agent must know better. A node that is started anew is another
@@ -142,6 +181,7 @@
         self.url, self.version = f"http://{host}:{address.port}/discovery/hosts", version
         self.pace = Pace(owner.rng, owner.hosts, EACH, MOST, LEAST, PERIOD)
         self.failed, self.answered, self.began = 0, False, 0.0
+        self.refused = False  # the latest list was too long, and the log was told
         self.speaker: asyncio.Task[None] | None = None  # the call that was answered, of those that are out
         self.owner = owner
         self.task = asyncio.create_task(keep_up(owner.faults, "discovery", self.run, self.start_over))
@@ -155,7 +195,7 @@
         """Where a change may have been missed, the whole list comes first."""
         timeout = aiohttp.ClientTimeout(total=None)  # each wait has its own
         async with aiohttp.ClientSession(
-            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=MOST_LINE,
+            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=READ_AHEAD,
             connector=aiohttp.TCPConnector(limit=0, force_close=self.owner.pushed),
         ) as session:  # fmt: skip
             while self not in self.owner.retired:
@@ -163,6 +203,8 @@
                 try:
                     await (self.look(session) if self.owner.pushed else self.call(session, ANSWER))
                     log.info("discovery_ended", address=self.url)
+                except ListTooLong as error:
+                    self.refuse(error)
                 except BadMessage as error:
                     log.warning("discovery_line_skipped", why=str(error))
                     self.version = None  # the line may have held a change: take the whole list
@@ -174,6 +216,8 @@
     def wait(self, silent: bool) -> float:
         """Seconds before the next call. An own agent's calls cost nothing, so that only what a loop can do
         bounds them."""
+        if self.refused:
+            return PERIOD  # reading it again costs, whoever sends it
         if self.owner.pushed:
             return self.owner.rng.random() * self.owner.every
         if self.answered:
@@ -186,6 +230,12 @@
             log.warning("discovery_lost", address=self.url, why=why, failed=self.failed + 1)
         self.failed += 1
 
+    def refuse(self, error: ListTooLong) -> None:
+        """What is known stands, and the log is told once until a list is taken again."""
+        if not self.refused:
+            log.error("discovery_list_refused", address=self.url, why=str(error))
+        self.refused = True
+
     async def look(self, session: aiohttp.ClientSession) -> None:
         """Call an own agent, which answers at once unless discovery is down, and then not even at its return.
         What it has at that moment counts as told at once, so a call that is not answered soon gets company
@@ -233,23 +283,25 @@
 
     async def fetch(self, session: aiohttp.ClientSession, within: float) -> None:
         async with asyncio.timeout(within), session.get(self.url, raise_for_status=True) as response:
-            listing = decode_listing(await response.read())
+            body = await read_body(response.content)
         if self.speaks():
-            self.take(listing, api.ListKind.FULL)
+            await self.take_text(body, api.ListKind.FULL)
             self.owner.settled(self)
 
     async def watch(self, session: aiohttp.ClientSession, within: float) -> None:
         params = {"watch": "1", "after": str(self.version)}
         loop, limit = asyncio.get_running_loop(), asyncio.timeout(within)  # for the head and the first line
         async with limit, session.get(self.url, params=params, raise_for_status=True) as response:
-            while line := await response.content.readline():
+            async for line in read_lines(response.content):
                 limit.reschedule(loop.time() + SILENCE)
                 if not self.speaks():
                     return
                 self.answered, self.failed = True, 0
                 self.owner.heard.set()
                 if text := line.strip():
-                    self.take(decode_listing(text))
+                    limit.reschedule(None)  # a long list takes its time, and is no silence
+                    await self.take_text(text)
+                    limit.reschedule(loop.time() + SILENCE)
 
     def speaks(self) -> bool:
         """Whether this call is the one that was answered first: what another one says may be older."""
@@ -257,6 +309,23 @@
             self.speaker = asyncio.current_task()
         return not self.owner.pushed or self.speaker is asyncio.current_task()
 
+    async def take_text(self, text: bytes, kind: api.ListKind | None = None) -> None:
+        """A list as it came, short or long."""
+        if len(text) < LONG:
+            self.take(decode_listing(text), kind)
+        else:
+            with collection_put_off():
+                await self.take_long(text, kind)
+        self.refused = False
+
+    async def take_long(self, text: bytes, kind: api.ListKind | None) -> None:
+        listing = await decode_long_listing(text)
+        if len(listing.instances) > AT_ONCE:
+            await self.owner.take_long(listing, self)
+            self.version = listing.version
+        else:
+            self.take(listing, kind)
+
     def take(self, listing: Listing, kind: api.ListKind | None = None) -> None:
         self.owner.take(listing, kind, self)
         self.version = listing.version
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any
 from urllib.parse import parse_qs
 
 from aiohttp import StreamReader
@@ -17,8 +15,7 @@
 from multidict import CIMultiDictProxy
 
 from cleatyoke import api
-from cleatyoke.config import Address, BadConfig, Config, read_address
-from cleatyoke.directory import Instance, Listing
+from cleatyoke.config import Address, Config
 
 MOST_WHOLE = 64 * 1024  # bytes of an answer's body that is read whole; a longer one passes on as it comes
 MOST_ANSWER = 64 * 1024 * 1024  # bytes of the longest body of a box's answer: twice what boxes send
@@ -33,11 +30,6 @@
 VISIBLE = re.compile(r"[!-~]+")
 FIELDS = ("X-Trace-Id", "X-Qos", "X-Plan", "X-Expires-In-Ms", "X-IO", "Content-Length")
 KEY = "Idempotency-Key"
-STATES = {
-    "SERVING": api.NodeState.LIVE,
-    "DRAINING": api.NodeState.DRAINING,
-    "DELETED": api.NodeState.GONE,
-}
 
 
 class BadMessage(ValueError):
@@ -356,43 +348,3 @@
 def decode_probe(answer: Answer) -> float | None:
     """The part of its power that a probed box reports in use; None where no report can be read."""
     return decode_report(answer.body[:MOST_REPORT].decode("latin-1")) if answer.status == 200 else None
-
-
-def decode_listing(text: str | bytes) -> Listing:
-    try:
-        return read_listing(json.loads(text))
-    except ValueError as error:
-        raise BadMessage(str(error)) from error
-
-
-def read_listing(value: Any) -> Listing:
-    if not isinstance(value, dict):
-        raise BadMessage("want an object")
-    version, entries = value.get("generation"), value.get("instances")
-    if not isinstance(version, int) or isinstance(version, bool):
-        raise BadMessage(f"generation: want a whole number, found {version!r}")
-    if not isinstance(entries, list):
-        raise BadMessage("instances: want a list")
-    return Listing(version, value.get("reset") is True, [read_instance(entry) for entry in entries])
-
-
-def read_instance(entry: Any) -> Instance:
-    if not isinstance(entry, dict):
-        raise BadMessage("instances: want objects")
-    name, state, cell = entry.get("instanceId"), entry.get("lifecycle"), entry.get("cell")
-    started = entry.get("startedAtMs") or 0
-    if not isinstance(name, str) or not name:
-        raise BadMessage(f"instanceId: want a text, found {name!r}")
-    if state not in STATES:
-        raise BadMessage(f"lifecycle: unknown state {state!r}")
-    if cell is not None and (isinstance(cell, bool) or not isinstance(cell, int)):
-        raise BadMessage(f"cell: want a whole number, found {cell!r}")
-    if isinstance(started, bool) or not isinstance(started, int | float):
-        raise BadMessage(f"startedAtMs: want a number, found {started!r}")
-    try:
-        address = read_address(str(entry.get("hostPort")), "hostPort")
-    except BadConfig as error:
-        raise BadMessage(str(error)) from error
-    return Instance(
-        name, address, str(entry.get("zone")), -1 if cell is None else cell, STATES[state], started / 1000
-    )
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -14,6 +14,7 @@
 from cleatyoke import api
 from cleatyoke.api import Ended, ListKind, NodeState, Outcome, Repeat, Scope
 from cleatyoke.fits import GAIN, clamp, fit, short_mean
+from cleatyoke.node_table import NodeTable
 from cleatyoke.state import Agenda, Lending, Node, Request, ShareClock, Store, Volume, forget_before
 
 INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds trail a surge
@@ -43,15 +44,12 @@
         self.paces = [0.0] * count  # by class, seconds of service a unit at any node; 0: none is known yet
         self.requests: dict[str, Request] = {}
         self.held: dict[int, list[Request]] = {}  # cell: requests waiting for it; -1: for any
-        self.nodes: dict[int, Node] = {}
-        self.holder: dict[int, Node] = {}  # cell: the live node that holds it
+        self.table = NodeTable(count)
+        self.nodes, self.holder = self.table.nodes, self.table.holder
         self.volumes: dict[int, Volume] = {}
         self.lending = Lending()
         self.keys: dict[int, list[Request]] = {}  # requests of ordered classes, oldest first
         self.key_rest: dict[int | None, float] = {}
-        self.usual: dict[int, float] = {}  # cell: mean units a second that this host had served there
-        self.due_units: dict[int, float] = {}  # cell: units due in full since the last control round
-        self.due_rate: dict[int, float] = {}  # cell: their mean, a second
         self.tries: dict[tuple[int, int, int | None], tuple[float, float]] = {}  # unserved: came, ended
         self.taken: deque[float] = deque()
         self.extras: deque[float] = deque()
@@ -142,7 +140,7 @@
         began, self.interval_at = self.interval_at, self.now
         for request in self.requests.values():
             self.count_demand(request, began)
-        total = max(1.0, sum(node.depth for node in self.holder.values()))  # the host's cap
+        total = max(1.0, self.table.depth)  # the host's cap
         performance = [1.0] * len(self.bounds)
         for index, kind in enumerate(self.settings.classes):
             if self.answered[index]:
@@ -154,18 +152,12 @@
                     self.asks[index] = clamp(wish, self.bounds[index] - STEP, self.bounds[index] + STEP)
         slopes = [slope * total if slope else None for slope in map(fit, self.history)]
         self.bounds = arbitrate(self.bounds, self.asks, performance, slopes, self.worths)
+        nodes = self.table.in_use()
         for index, bound in enumerate(self.bounds):
-            self.allocate(index, bound * total)
-        span = max(self.now - began, min(IDLE, self.now - self.born), MARGIN)
-        for node in self.holder.values():
-            if node.up_since <= 0 or self.now - node.up_since >= self.safety.ramp:  # warm
-                kept = self.usual.get(node.cell, 0.0) * (1 - (self.now - began) / span)
-                self.usual[node.cell] = kept + node.done_units / span
-            kept = self.due_rate.get(node.cell, 0.0) * (1 - (self.now - began) / (span + IDLE / 16))
-            self.due_rate[node.cell] = kept + self.due_units.get(node.cell, 0.0) / (span + IDLE / 16)
-            node.done_units = 0.0
-            node.shares = {volume: store for volume, store in node.shares.items() if volume in self.volumes}
-        self.due_units = {}
+            self.allocate(index, bound * total, nodes)
+        passed = self.now - began
+        span = max(passed, min(IDLE, self.now - self.born), MARGIN)
+        self.table.count_rates(passed, span, span + IDLE / 16, self.is_cold)
         self.waited, self.answered = [0.0] * len(self.bounds), [0] * len(self.bounds)
         self.clean_up()
 
@@ -175,10 +167,11 @@
         self.volumes = {name: volume for name, volume in self.volumes.items() if volume.reserve.filled > idle}
         for volume in self.volumes.values():
             volume.due = defaultdict(float, {at: due for at, due in volume.due.items() if at >= oldest})
-        self.nodes = {name: node for name, node in self.nodes.items() if node.live or node.answered > idle}
+        for node in self.table.forget_idle(idle):
+            for volume in self.volumes.values():
+                volume.shares.pop(node.id, None)
         self.tries = {item: tried for item, tried in self.tries.items() if tried[1] > oldest}
         self.keys = {key: queue for key, queue in self.keys.items() if queue}
-        self.held = {cell: queue for cell, queue in self.held.items() if queue}
         self.key_rest = {key: rest for key, rest in self.key_rest.items() if rest > self.now}
 
     # Node allocator
@@ -187,13 +180,15 @@
         holder = self.holder.get(request.cell)
         if holder and not request.over:
             holder.demand[request.index] += self.now - max(since, request.arrived)
+            self.table.active[holder.id] = holder
 
-    def allocate(self, index: int, bound: float) -> None:
-        """Split a class's bound over nodes by its mean held-plus-out count there, at least one each."""
-        nodes = list(self.holder.values())
-        seen = sum(node.demand[index] for node in nodes)
+    def allocate(self, index: int, bound: float, nodes: list[Node]) -> None:
+        """Split a class's bound over nodes by its mean held-plus-out count there, at least one each.
+        ``nodes``: those in use; all others share one split."""
+        seen, even = sum(node.demand[index] for node in nodes), 1 / max(1, len(self.holder))
+        self.table.even_split[index] = 1 if seen else max(1, math.ceil(bound * even - 1e-9))
         for node in nodes:
-            part = node.demand[index] / seen if seen else 1 / len(nodes)
+            part = node.demand[index] / seen if seen else even
             node.split[index] = max(1, math.ceil(bound * part - 1e-9))
             node.demand[index] = 0.0
 
@@ -267,21 +262,21 @@
         places = request.hosts * (len(self.holder) if new else 1)
         wanted = self.worth(request, node) > 0 and (not new or self.timely(request, node))
         rate = node.spare * self.settings.plans[request.ask.plan].weight / places * wanted
-        store = node.shares.setdefault(request.ask.volume, Store(rate, self.now))
+        store = request.volume.shares.setdefault(node.id, Store(rate, self.now))
         store.fill(rate, rate, self.now)
         return self.now - min(0.0, store.level) / rate if rate else math.inf
 
     def send(self, request: Request, node: Node) -> None:
         if not self.sure(request, node):
             price = self.dearest / self.worth(request, node) / max(STEP, self.bounds[request.index])
-            node.shares[request.ask.volume].level -= request.units * price
+            request.volume.shares[node.id].level -= request.units * price
         request.full = still_due(request)
         request.volume.due[int(request.arrived)] -= request.full
         if not request.sends:
             request.volume.limit.level -= request.units
         elif self.safety.extra_window is not None:
             self.extras.append(self.now)
-        self.held[request.cell].remove(request)
+        self.unhold(request)
         request.out[request.sends] = node, self.now
         self.agenda.add(self.now + self.patience(request, node, -math.inf), request)
         request.sends += 1
@@ -289,12 +284,18 @@
         node.cold.level -= request.units
         self.actions.append(api.Send(request.id, node.id, self.forgotten_at(request)))
 
+    def unhold(self, request: Request) -> None:
+        self.held[request.cell].remove(request)
+        if not self.held[request.cell]:
+            del self.held[request.cell]
+
     # Events
 
     def on_arrival(self, event: api.Arrival) -> None:
         if self.safety.extra_window is not None:
             self.taken.append(self.now)
-            self.touch(-1)  # the budget has grown, so that held repeats may go
+            for cell in self.held:  # the budget has grown, so that held repeats may go
+                self.touch(cell)
         plan, hosts = self.settings.plans[event.plan], int(clamp(event.hosts, 1, self.hosts))
         self.seen_hosts = max(self.seen_hosts, event.hosts)
         part = self.reserve_here(event.volume, plan.reserve, hosts)
@@ -317,7 +318,7 @@
             due = min(volume.reserve.level, request.units)
             volume.reserve.level -= due
             volume.due[int(self.now)] += due
-            self.due_units[event.cell] = self.due_units.get(event.cell, 0.0) + due
+            self.table.due_units[event.cell] = self.table.due_units.get(event.cell, 0.0) + due
         request.aim_at = min(request.arrived + request.kind.aim, request.deadline)
         if request.key is not None:
             self.keys.setdefault(request.key, []).append(request)
@@ -399,17 +400,19 @@
             gap, node.answered, node.failures = min(1.0, self.now - node.answered), self.now, 0
             self.tell_service_from_queue(node, event.spent, request, max(GAIN, gap / 2))
             node.done_units += request.units
+            self.table.active[node.id] = node
             if node.queued < self.queue_aim or node.depth <= 1:
                 spare = node.spare * clamp(self.queue_aim / max(node.queued, 1e-9), 0.1, 10.0) ** gap
                 node.spare = clamp(spare, self.spare, self.spare * SPARE_MOST)
             if node.queued > self.queue_aim:
-                node.depth = max(1.0, node.depth - 0.5 / node.depth)
+                self.table.deepen(node, max(1.0, node.depth - 0.5 / node.depth))
             elif sum(node.out) + 1 >= int(node.depth):
-                node.depth = min(NODE_CAP, node.depth + 1 / node.depth)
+                self.table.deepen(node, min(NODE_CAP, node.depth + 1 / node.depth))
         elif event.outcome in (Outcome.FULL, Outcome.NO_CONNECTION) or (
             event.spent >= request.kind.aim and node.latest <= sent
         ):
-            node.depth, node.failures = max(1.0, node.depth / 2), node.failures + 1
+            self.table.deepen(node, max(1.0, node.depth / 2))
+            node.failures += 1
             if node.failures > 1:  # in a row: not a lost answer but a slow or silent node
                 served = node.pace * request.units * self.heaviness(request.index)
                 waited = max(node.queued, event.spent - served)
@@ -442,31 +445,28 @@
         self.history = [[] for _ in range(count)]
         self.waited, self.answered = self.waited + [0.0] * fresh, self.answered + [0] * fresh
         self.paces += [0.0] * fresh
-        for node in self.nodes.values():
-            node.add_classes(fresh)
+        self.table.add_classes(fresh)
 
     def on_list(self, event: api.NodeList) -> None:
         if event.kind is ListKind.LOST:
             self.agenda.add(self.now + (self.safety.ask_every or INTERVAL) / 4, None)
             return
         if event.kind is not ListKind.CHANGES:
-            for node in self.nodes.values():
-                node.live = False
+            self.table.unlist_all_but({entry.node for entry in event.entries})
         for entry in event.entries:
             if entry.node not in self.nodes:
                 depth = max(1.0, NODE_CAP / self.hosts)
-                self.nodes[entry.node] = Node(entry, len(self.bounds), depth, self.queue_aim / 2, self.spare)
+                self.table.add(Node(entry, len(self.bounds), depth, self.queue_aim / 2, self.spare))
             node = self.nodes[entry.node]
-            node.live = entry.state is NodeState.LIVE
+            self.table.set_live(node, entry.state is NodeState.LIVE)
             if entry.up_since > node.up_since:  # in debt by chance, so that many hosts do not send as one
                 debt, node.up_since = self.rng.random() * self.settings.mean, entry.up_since
                 node.cold = Store(-debt, self.now)
-        self.holder = {}
-        for node in self.nodes.values():
-            rival = self.holder.get(node.cell, node)
-            if node.live and node.up_since >= rival.up_since:
-                self.holder[node.cell] = node
-        self.touched = {node.id: node for node in self.holder.values()}
+        for before, holder in self.table.choose_holders(self.is_cold):
+            if before:
+                self.touched.pop(before.id, None)
+            if holder:
+                self.touched[holder.id] = holder
 
     # Guards of the rules
 
@@ -527,19 +527,21 @@
         started knows no usual rate. All hosts' add up to what a warm node serves, of which load reports tell
         the part of its power; some is saved up, as a host's few requests come in bunches."""
         safety, age = self.safety, self.now - node.up_since
-        if node.up_since <= 0 or age >= safety.ramp:
+        if not self.is_cold(node):
             return self.now
         share = safety.cold_from + (1 - safety.cold_from) * max(0.0, age - safety.tip_after) / safety.ramp
         room, hosts = 1 / max(self.busy, 1 / ROOM_MOST), max(self.hosts, self.seen_hosts)
-        mean = sum(self.usual.values()) / max(1, len(self.usual))
-        usual = self.usual.get(node.cell, mean) * share * safety.tip_multiple * room
+        usual = self.table.usual.get_or_mean(node.cell) * share * safety.tip_multiple * room
         stated = self.settings.cold_units / safety.tip_after / hosts * self.share.part * node.lent
         warmth = share / safety.cold_from if safety.cold_from else 1.0
-        due = self.due_rate.get(node.cell, 0.0) * share * safety.tip_multiple
+        due = self.table.due_rate.get(node.cell) * share * safety.tip_multiple
         rate = max(usual, stated * warmth, due, 1e-9)
         node.cold.fill(rate, usual * safety.tip_after * (1 - 1 / room), self.now)
         return self.now - node.cold.level / rate
 
+    def is_cold(self, node: Node) -> bool:
+        return node.up_since > 0 and self.now - node.up_since < self.safety.ramp
+
     def keep_or_give_up(self, request: Request) -> None:
         """A held request is kept while it can be in time; once late it goes at once, or is given up.
 
@@ -572,7 +574,7 @@
         self.waited[request.index] += self.now - request.arrived
         self.answered[request.index] += 1
         if request in self.held.get(request.cell, ()):
-            self.held[request.cell].remove(request)
+            self.unhold(request)
         self.actions += [answer] if answer else []
         if not served and request.ask.item is not None:
             self.tries[request.item] = request.arrived, self.now
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -30,6 +30,11 @@
 class Node:
     """A listed node, as this host knows it."""
 
+    __slots__ = (
+        "answered", "cell", "cold", "demand", "depth", "done_units", "failures", "hold_until", "id", "latest",
+        "lent", "live", "out", "pace", "queued", "spare", "split", "up_since", "wake_at", "zone",
+    )  # fmt: skip
+
     def __init__(
         self, entry: api.NodeEntry, classes: int, depth: float, queued: float, spare: float
     ) -> None:
@@ -38,26 +43,27 @@
         self.depth, self.answered = depth, 0.0
         self.queued, self.pace = queued, 0.0  # mean wait there, and seconds of service a unit
         self.spare = spare  # units a second by weight that a volume may send beyond its reserve
-        self.shares: dict[int, Store] = {}  # volume: its part of the spare rate
         self.out = [0] * classes
-        self.split = [1] * classes
+        self.split = [1] * classes  # most slots by class; idle nodes share one list
         self.demand = [0.0] * classes
         self.cold = Store(0.0, 0.0)  # after a start: what this host may send, 0 at most
         self.lent = 1.0  # times its even part of what the node bears then, by which hosts lend one another
         self.hold_until, self.failures = 0.0, 0  # nothing is sent before; ends without an answer in a row
-        self.used, self.wake_at = 0.0, math.inf  # the last send to it, and the next look that is due
+        self.wake_at = math.inf  # the next look that is due
         self.done_units = 0.0
         self.latest = 0.0  # when the last sent of the attempts was sent that are answered
 
     def add_classes(self, count: int) -> None:
         self.out += [0] * count
-        self.split += [1] * count
+        self.split = self.split + [1] * count
         self.demand += [0.0] * count
 
 
 class Store:
     """Units that fill up at a rate, to a ceiling at most."""
 
+    __slots__ = ("filled", "level")
+
     def __init__(self, level: float, now: float) -> None:
         self.level, self.filled = level, now
 
@@ -90,6 +96,7 @@
         self.lent.told = limit.filled
         self.others: dict[int, tuple[float, float]] = {}  # cell: units a second by other hosts, when told
         self.due: defaultdict[int, float] = defaultdict(float)  # second of arrival: units still due in full
+        self.shares: dict[int, Store] = {}  # node: this volume's part of its spare rate
 
 
 class Lending:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -6,6 +6,7 @@
 
 from cleatyoke import api
 from cleatyoke.api import Outcome, Repeat, Scope
+from cleatyoke.node_table import FadingMeans
 from cleatyoke.rules import LOST
 from cleatyoke.state import Request
 from tests.host import Host, class_spec, entry, plan_spec, settings
@@ -54,7 +55,7 @@
         host.ask("a")
         host.end("a", Outcome.SERVED)
         host.now += 0.001
-        store = host.policy.nodes[1].shares[1]
+        store = host.policy.volumes[1].shares[1]
         store.level, store.filled, host.policy.nodes[1].spare = debt, host.now, 2.0
         assert host.ask("b", deadline=host.now + 0.03) == [api.Refuse("b", pytest.approx(wait))]
 
@@ -269,7 +270,7 @@
         if name in host.policy.requests:
             host.end(name, Outcome.SERVED, node=node, spent=0.02, busy=busy)
     if not known:
-        host.policy.usual.pop(1, None)
+        host.policy.table.usual.known.discard(1)
     host.step(api.NodeList(api.ListKind.CHANGES, [entry(1, 1, up_since=host.now)]))
     return cold_sends(host, 3.0)
 
@@ -289,11 +290,11 @@
 def test_a_cold_time_is_no_usual_one() -> None:
     host = Host(settings(safety={"ramp": 10.0}), [entry(1, 1)])
     cold_sends(host, 10.0)
-    usual = host.policy.usual[1]
+    usual = host.policy.table.usual.get(1)
     host.step(api.NodeList(api.ListKind.CHANGES, [entry(1, 1, up_since=host.now)]))
     host.run_until(host.now + 8.0)
     host.ask("a")
-    assert host.policy.usual[1] >= usual * 0.9
+    assert host.policy.table.usual.get(1) >= usual * 0.9
 
 
 def test_a_restart_in_the_list_makes_a_node_cold_again() -> None:
@@ -482,7 +483,7 @@
         for host in hosts:
             host.step(api.Woken(0), at=host.now + 0.02)
             if forget:
-                host.policy.due_rate = {}
+                host.policy.table.due_rate = FadingMeans()
         now = hosts[0].now
         while asks and asks[0][0] <= now:
             _, volume, number = asks.pop(0)
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -29,7 +29,8 @@
 from cleatyoke.net import server as server_module
 from cleatyoke.net.boxes import Boxes, LongBody
 from cleatyoke.net.discovery import Discovery
-from cleatyoke.net.messages import Ask, decode_busy, read_listing
+from cleatyoke.net.listings import read_listing
+from cleatyoke.net.messages import Ask, decode_busy
 from cleatyoke.net.server import Front
 from cleatyoke.rules import Policy
 from tests.wire import FACTS, DiscoveryAgent, HttpBox, answer, config, instance, listed
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -81,7 +81,7 @@
 
 def test_zero_demand_splits_evenly_over_listed_nodes() -> None:
     host = Host(settings(), [entry(1, 1), entry(2, 2), entry(3, 3)])
-    host.policy.allocate(0, 7.0)
+    host.policy.allocate(0, 7.0, host.policy.table.in_use())
     assert [node.split[0] for node in host.policy.nodes.values()] == [3, 3, 3]
 
 
@@ -89,7 +89,8 @@
     host = Host(settings(), [entry(1, 1), entry(2, 2), entry(3, 3)])
     for node, demand in zip(host.policy.nodes.values(), [6.0, 2.0, 0.0]):
         node.demand[0] = demand
-    host.policy.allocate(0, 6.0)
+        host.policy.table.active[node.id] = node
+    host.policy.allocate(0, 6.0, host.policy.table.in_use())
     assert [node.split[0] for node in host.policy.nodes.values()] == [5, 2, 1]
 
 
@@ -98,11 +99,11 @@
     assert total(host) == 8.0  # the default of eight a node, halved between two hosts
     host.step(api.NodeList(api.ListKind.CHANGES, [entry(2, 2, api.NodeState.GONE)]))
     assert total(host) == 4.0
-    host.policy.allocate(0, 4.0)
+    host.policy.allocate(0, 4.0, host.policy.table.in_use())
     assert host.policy.nodes[1].split == [4]
     host.step(api.NodeList(api.ListKind.CHANGES, [entry(3, 2)]))
     assert total(host) == 8.0
-    host.policy.allocate(0, 8.0)
+    host.policy.allocate(0, 8.0, host.policy.table.in_use())
     assert host.policy.nodes[3].split == [4]
 
 
@@ -210,7 +211,7 @@
         host = Host(settings([class_spec(worth=worth), class_spec(worth=4.0)]), [entry(1, 1)])
         host.policy.nodes[1].spare = 8.0
         host.step(host.arrival("a", units=6.0), host.arrival("b", units=6.0))
-        paid.append(8.0 - host.policy.nodes[1].shares[1].level)
+        paid.append(8.0 - host.policy.volumes[1].shares[1].level)
     assert paid[1] == pytest.approx(4 * paid[0])
 
 
@@ -273,7 +274,7 @@
         host = Host(settings([class_spec(), class_spec()]), [entry(1, 1)])
         host.policy.bounds, host.policy.nodes[1].spare = bounds, 8.0
         host.step(host.arrival("a", units=6.0), host.arrival("b", units=6.0))
-        paid.append(8.0 - host.policy.nodes[1].shares[1].level)
+        paid.append(8.0 - host.policy.volumes[1].shares[1].level)
     assert paid[0] == pytest.approx(paid[1] * 0.8 / 0.5)
 
 
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -172,11 +172,12 @@
             window = safety.tip_after
             sent = sum(units for time, units in self.to_node[node] if time > now - window)
             policy = self.host.policy
-            mean = sum(policy.usual.values()) / max(1, len(policy.usual))
-            usual = policy.usual.get(node, mean) * safety.tip_multiple * 3  # twice, and half of that saved up
+            rates = {cell: policy.table.usual.get(cell) for cell in policy.table.usual.known}
+            mean = sum(rates.values()) / max(1, len(rates))
+            usual = rates.get(node, mean) * safety.tip_multiple * 3  # twice, and half of that saved up
             warmer = (1 - safety.cold_from) / safety.cold_from * (now - self.up_since[node]) / safety.ramp
             stated = self.config.cold_units / self.config.hosts * (1 + warmer)
-            due = policy.due_rate.get(node, 0.0)
+            due = policy.table.due_rate.get(node)
             own = max(stated, usual * window, due * window) + self.config.largest
             assert sent <= own + 1e-6, "cold node"
         self.out[name] = (self.sends[name], node, now, now + self.dice.choice([0.01, 0.05, 0.2, 1.0, 9.0]))
