--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -115,8 +115,14 @@
         )
         self.handed = HoldFile(config.state_dir, self.directory, self.core, self.faults)
         self.discovery = Discovery(
-            config.discovery, self.directory, self.core.tell, settings.hosts, config.seed, self.faults,
-            pushed=not settings.must_watch, grace=config.drain_grace,
+            config.discovery,
+            self.directory,
+            self.core.tell,
+            settings.hosts,
+            config.seed,
+            self.faults,
+            pushed=not settings.must_watch,
+            grace=config.drain_grace,
         )
         self.control: ControlListener | None = None
         self.metrics: MetricsListener | None = None
@@ -144,9 +150,11 @@
         # an overbooked discovery, all that came through them was lost, which no stale entry of a list costs.
         patient_until = self.loop.time() + (FIRST_WORD if not directory.boxes else 0.0)
         self.front = Front(
-            config, self.core, self.boxes,
+            config,
+            self.core,
+            self.boxes,
             lambda: self.discovery.heard.is_set() or self.loop.time() >= patient_until,
-        )  # fmt: skip
+        )
         self.discovery.start()
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if config.fleet:
@@ -259,9 +267,13 @@
         self.figures.reconfig_ok += 1
         settings = self.config.settings
         log.info(
-            "reloaded", discovery=self.config.discovery, moved=taken.moved, next_start=taken.waiting,
-            retuned=taken.retired is not None, classes=list(self.config.classes),
-        )  # fmt: skip
+            "reloaded",
+            discovery=self.config.discovery,
+            moved=taken.moved,
+            next_start=taken.waiting,
+            retuned=taken.retired is not None,
+            classes=list(self.config.classes),
+        )
         if taken.retired is not None:
             self.core.tell(api.Retuned(settings, taken.retired))
             self.life.retime(self.notice())
@@ -273,9 +285,7 @@
 
     def notice(self) -> Notice:
         classes = self.config.settings.classes
-        return Notice.of(
-            self.config.notice(), [classes[place].aim for place in self.config.classes.values()]
-        )
+        return Notice.of(self.config.notice(), [classes[place].aim for place in self.config.classes.values()])
 
     async def serve(self) -> None:
         """From the first client to the last answer."""
@@ -283,9 +293,7 @@
         gc.collect()
         gc.enable()  # `quick` left it off
         gc.freeze()  # what the start made stays; later collections pass over it
-        log.info(
-            "ready", name=self.config.name, listen=self.front.address, nodes=len(self.directory.boxes)
-        )
+        log.info("ready", name=self.config.name, listen=self.front.address, nodes=len(self.directory.boxes))
         await self.signalled.wait()
         log.info("leaving", open=len(self.core.calls))
         self.front.leave(self.life.last_answer() - self.loop.time())
@@ -309,9 +317,10 @@
             await asyncio.sleep(min(LOOK, max(0.0, self.life.next_at() - self.loop.time())))
         listed = len(self.directory.boxes)
         log.info(
-            "left", faults=self.figures.faults,
+            "left",
+            faults=self.figures.faults,
             figures=" ".join(self.figures.lines(list(self.config.classes), listed, 0)),
-        )  # fmt: skip
+        )
         self.life.released()
 
     def release(self) -> None:
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -155,8 +155,20 @@
         one had is a ``BadConfig``, and nothing is taken from it."""
         if lost := missing(self.keys, new.keys):
             raise BadConfig(f"{lost}: missing, and the file had it before")
-        kept = ("name", "listen", "accept_fd", "ops", "state_dir", "shares", "dial_timeout", "idle_close",
-                "sftp", "vrrp", "fleet", "metrics")  # fmt: skip
+        kept = (
+            "name",
+            "listen",
+            "accept_fd",
+            "ops",
+            "state_dir",
+            "shares",
+            "dial_timeout",
+            "idle_close",
+            "sftp",
+            "vrrp",
+            "fleet",
+            "metrics",
+        )
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
         self.keys = new.keys
         retired = self.follow(new)
--- a/cleatyoke/durable/records.py
+++ b/cleatyoke/durable/records.py
@@ -75,9 +75,10 @@
 def rows_of(memory: Memory, front: str) -> list[Row]:
     encode = msgspec.msgpack.encode
     return [
-        sealed("holds", front, encode(memory.holds)), sealed("boot", front, encode(memory.boot)),
+        sealed("holds", front, encode(memory.holds)),
+        sealed("boot", front, encode(memory.boot)),
         sealed("peers", front, encode(memory.peers)),
-    ]  # fmt: skip
+    ]
 
 
 def read_holds(data: bytes) -> Memory:
@@ -92,9 +93,7 @@
     return Memory(peers=msgspec.msgpack.decode(data, type=Peers))
 
 
-READERS: dict[str, Callable[[bytes], Memory]] = {
-    "holds": read_holds, "boot": read_boot, "peers": read_peers
-}  # fmt: skip
+READERS: dict[str, Callable[[bytes], Memory]] = {"holds": read_holds, "boot": read_boot, "peers": read_peers}
 
 
 def read(rows: Iterable[tuple[Any, ...]], front: str, where: str) -> tuple[Memory, list[Doubt]]:
--- a/cleatyoke/durable/store.py
+++ b/cleatyoke/durable/store.py
@@ -3,7 +3,7 @@
 
 A file that cannot be read, is damaged or is of a newer form is put aside under a name that says why, and
 begun anew; nothing of it is deleted. What one file lost, the other has: a write is over when both have it,
-or the one that works. """
+or the one that works."""
 
 from __future__ import annotations
 
--- a/cleatyoke/durable/writer.py
+++ b/cleatyoke/durable/writer.py
@@ -3,7 +3,7 @@
 
 Of several writes that wait, the newest counts: each holds all. A disk that is full, read-only, slow or gone
 costs nothing but the promise that what is new outlives a loss of power; it is told once, and tried again
-and again. """
+and again."""
 
 from __future__ import annotations
 
@@ -40,9 +40,12 @@
     write, or none any more. ``unix``: the wall clock."""
 
     def __init__(
-        self, disk: Keeper, unix: Callable[[], float], recalled: Callable[[Recalled], None],
+        self,
+        disk: Keeper,
+        unix: Callable[[], float],
+        recalled: Callable[[Recalled], None],
         heard: Callable[[list[Doubt]], None] = lambda doubts: None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.disk, self.unix, self.recalled, self.heard = disk, unix, recalled, heard
         self.turn = threading.Condition()
         self.waiting: tuple[int, Memory] | None = None
--- a/cleatyoke/emulate/__main__.py
+++ b/cleatyoke/emulate/__main__.py
@@ -20,9 +20,11 @@
     parser.add_argument("--jobs", type=int, default=1, help="plays at once")
     parser.add_argument("--line", help="play this one script, as a failed run printed it")
     chosen = parser.parse_args(words)
-    scripts = [json.loads(chosen.line)] if chosen.line else [
-        draw(seed, chosen.size) for seed in range(chosen.first, chosen.first + chosen.scripts)
-    ]  # fmt: skip
+    scripts = (
+        [json.loads(chosen.line)]
+        if chosen.line
+        else [draw(seed, chosen.size) for seed in range(chosen.first, chosen.first + chosen.scripts)]
+    )
     failed = 0
     with ProcessPoolExecutor(chosen.jobs) as pool:
         for script, broken in zip(scripts, pool.map(play, scripts)):
--- a/cleatyoke/emulate/baselines.py
+++ b/cleatyoke/emulate/baselines.py
@@ -48,9 +48,16 @@
     """Everybody tells everybody, once a period, that it is there. ``seeds`` are all of them."""
 
     def __init__(
-        self, deployment: str, name: str, boot: int, address: str, seeds: Sequence[str],
-        dice: random.Random, timing: Timing | None = None, alone: bool = False,
-    ) -> None:  # fmt: skip
+        self,
+        deployment: str,
+        name: str,
+        boot: int,
+        address: str,
+        seeds: Sequence[str],
+        dice: random.Random,
+        timing: Timing | None = None,
+        alone: bool = False,
+    ) -> None:
         super().__init__(deployment, name, boot, address, seeds, dice, timing, alone)
         self.everybody = self.other_seeds()
 
--- a/cleatyoke/emulate/capacity/nodes.py
+++ b/cleatyoke/emulate/capacity/nodes.py
@@ -185,4 +185,3 @@
         now = time.process_time()
         turns.append(now - last)
         last = now
-
--- a/cleatyoke/emulate/fleet.py
+++ b/cleatyoke/emulate/fleet.py
@@ -25,7 +25,7 @@
     Timing,
     Told,
     rank,
-)  # fmt: skip
+)
 from cleatyoke.fleet.wire import Id, State
 
 PATIENCE = 1.0  # seconds after which an exchange without an answer is given up
@@ -58,9 +58,14 @@
     """``size`` fronts, started with ``start``. Each fault is a method; ``run`` lets time pass."""
 
     def __init__(
-        self, size: int, seed: int = 0, timing: Timing | None = None, network: Network | None = None,
-        make: Make = Members, seeds: int = 3,
-    ) -> None:  # fmt: skip
+        self,
+        size: int,
+        seed: int = 0,
+        timing: Timing | None = None,
+        network: Network | None = None,
+        make: Make = Members,
+        seeds: int = 3,
+    ) -> None:
         self.size, self.seed, self.timing, self.make = size, seed, timing or Timing(), make
         self.network = network or Network(seed)
         self.now = 0.0
@@ -89,8 +94,16 @@
         self.kill(front)
         self.boots[front] = boot if boot is not None else self.boots.get(front, 0) + 1
         dice = random.Random(f"{self.seed}:{front}:{self.boots[front]}:{self.now}")
-        members = self.make("test", f"front-{front:04d}", self.boots[front], address, self.seeds, dice,
-                            self.timing, alone=True)  # fmt: skip
+        members = self.make(
+            "test",
+            f"front-{front:04d}",
+            self.boots[front],
+            address,
+            self.seeds,
+            dice,
+            self.timing,
+            alone=True,
+        )
         self.running[address] = Process(front, members, self.now)
         self.step(address)
 
--- a/cleatyoke/emulate/keep.py
+++ b/cleatyoke/emulate/keep.py
@@ -3,7 +3,7 @@
 
 The model knows which holds must stand (told as kept on a disk, and not released by one that knew of it) and
 which may (not kept yet, or released by one that may have lost its memory of that). A front that has settled
-holds all of the first and nothing beyond both: a hold too many is the safe side, one too few is not. """
+holds all of the first and nothing beyond both: a hold too many is the safe side, one too few is not."""
 
 from __future__ import annotations
 
@@ -31,9 +31,13 @@
     """``share``: what a life keeps its copies by; ``recall``: what it makes of its disk."""
 
     def __init__(
-        self, size: int, seed: int, share: type[Sharing] = Sharing, recall: Recalls = recalls,
+        self,
+        size: int,
+        seed: int,
+        share: type[Sharing] = Sharing,
+        recall: Recalls = recalls,
         network: Network | None = None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         super().__init__(size, seed, network=network, make=self.build)
         self.share, self.recall = share, recall
         self.dice = random.Random(f"keep:{seed}")
@@ -103,8 +107,8 @@
                 self.before |= self.disks
                 for one in range(self.size):
                     self.kill(one)
-            case "old disk" | "empty disk" if (
-                self.address(front) not in self.running and self.elsewhere(name)
+            case "old disk" | "empty disk" if self.address(front) not in self.running and self.elsewhere(
+                name
             ):
                 self.disks[name] = self.before.get(name, []) if what == "old disk" else []
             case "cut":
--- a/cleatyoke/emulate/market.py
+++ b/cleatyoke/emulate/market.py
@@ -65,9 +65,10 @@
 
     def usable(self) -> int:
         return sum(
-            one.rights.usable(RESOURCE, one.clock(self.now)) for one in self.traders.values()
+            one.rights.usable(RESOURCE, one.clock(self.now))
+            for one in self.traders.values()
             if self.now >= one.stopped_until
-        )  # fmt: skip
+        )
 
     def whole(self) -> int:
         return self.size * HOME
@@ -107,8 +108,12 @@
             target = int(post.receiver.name.partition("-")[2])
             for after, came in self.network.datagram(str(front), str(target), data):
                 if came == data:  # what is not as it was sent is refused by its checksum
-                    self.at(self.now + after, lambda came=came, to=post.receiver, target=target: (  # type: ignore[misc]
-                        self.deliver(target, to, trader.id, came)))
+                    self.at(
+                        self.now + after,
+                        lambda came=came, to=post.receiver, target=target: (  # type: ignore[misc]
+                            self.deliver(target, to, trader.id, came)
+                        ),
+                    )
 
     def deliver(self, target: int, to: Id, sender: Id, data: bytes) -> None:
         if self.traders[target].id == to:
--- a/cleatyoke/emulate/measure.py
+++ b/cleatyoke/emulate/measure.py
@@ -46,8 +46,10 @@
     before = fleet.traffic()
     fleet.run(fleet.now + seconds)
     after = fleet.traffic()
-    return {"datagrams/s": (after[0] - before[0]) / size / seconds,
-            "bytes/s": (after[1] - before[1]) / size / seconds}  # fmt: skip
+    return {
+        "datagrams/s": (after[0] - before[0]) / size / seconds,
+        "bytes/s": (after[1] - before[1]) / size / seconds,
+    }
 
 
 def detection(kind: str, size: int, seed: int) -> Row:
@@ -66,10 +68,12 @@
         firsts.append(min(of_it) - began)
         lasts.append(fleet.now - began)
     return {
-        "suspected s": sum(doubts) / KILLS, "first s": sum(firsts) / KILLS, "last s": sum(lasts) / KILLS,
+        "suspected s": sum(doubts) / KILLS,
+        "first s": sum(firsts) / KILLS,
+        "last s": sum(lasts) / KILLS,
         "worst last s": max(lasts),
         "spread periods": max(last - first for first, last in zip(firsts, lasts)) / PERIOD,
-    }  # fmt: skip
+    }
 
 
 def false_deaths(kind: str, size: int, seed: int, loss: float, slow: float) -> Row:
@@ -84,9 +88,11 @@
     names = {f"front-{front:04d}" for front in faint}
     wrong = [(by, dead) for _, by, dead, true in fleet.journal.deaths if not true]
     hours = WATCHED / 3600
-    return {"told/h": len(wrong) / hours,
-            "of the healthy/h": sum(dead.name not in names for _, dead in wrong) / hours,
-            "of the slow/h": sum(dead.name in names for _, dead in wrong) / hours}  # fmt: skip
+    return {
+        "told/h": len(wrong) / hours,
+        "of the healthy/h": sum(dead.name not in names for _, dead in wrong) / hours,
+        "of the slow/h": sum(dead.name in names for _, dead in wrong) / hours,
+    }
 
 
 def heal(kind: str, size: int, seed: int) -> Row:
@@ -124,8 +130,16 @@
         todo = [(job, pool.submit(job[1], *job[2:5], *job[5])) for job in jobs(sizes)]
         for (what, _, kind, size, seed, _), future in todo:
             for figure, value in future.result().items():
-                rows.append({"what": what, "kind": kind, "size": size, "seed": seed, "figure": figure,
-                             "value": f"{value:.4g}"})  # fmt: skip
+                rows.append(
+                    {
+                        "what": what,
+                        "kind": kind,
+                        "size": size,
+                        "seed": seed,
+                        "figure": figure,
+                        "value": f"{value:.4g}",
+                    }
+                )
             print(what, kind, size, seed, future.result(), flush=True)
     return sorted(rows, key=lambda row: (row["what"], row["figure"], row["kind"], row["size"], row["seed"]))
 
--- a/cleatyoke/emulate/recovery.py
+++ b/cleatyoke/emulate/recovery.py
@@ -39,16 +39,31 @@
     return {
         "fleet": {"fronts": fronts, "boxes": boxes, "seconds": 30.0, "seed": seed},
         "box": {"ramp_s": 12.0},
-        "load": {"rate": 21.7 * boxes, "hosts": min(4, fronts), "units": 1, "units_most": 3, "retries": 1,
-                 "volumes": 4 * boxes, "surge_at": float(BACK), "surge_s": 10.0, "surge": 1.6},
-        "class": [{"name": "read", "share": 0.65, "worth": 3.0},
-                  {"name": "write", "share": 0.35, "worth": 2.0, "repeat": "once", "write": True}],
-        "plan": [{"name": "public", "reserve": 3.0},
-                 {"name": "research", "rate": 12.0, "reserve": 6.0, "weight": 2.0}],
-        "trouble": [{"kind": "powercut", "at": LOST, "lasts_s": BACK - LOST},
-                    {"kind": "restart", "at": LOST, "lasts_s": BACK - LOST - 0.3}],
+        "load": {
+            "rate": 21.7 * boxes,
+            "hosts": min(4, fronts),
+            "units": 1,
+            "units_most": 3,
+            "retries": 1,
+            "volumes": 4 * boxes,
+            "surge_at": float(BACK),
+            "surge_s": 10.0,
+            "surge": 1.6,
+        },
+        "class": [
+            {"name": "read", "share": 0.65, "worth": 3.0},
+            {"name": "write", "share": 0.35, "worth": 2.0, "repeat": "once", "write": True},
+        ],
+        "plan": [
+            {"name": "public", "reserve": 3.0},
+            {"name": "research", "rate": 12.0, "reserve": 6.0, "weight": 2.0},
+        ],
+        "trouble": [
+            {"kind": "powercut", "at": LOST, "lasts_s": BACK - LOST},
+            {"kind": "restart", "at": LOST, "lasts_s": BACK - LOST - 0.3},
+        ],
         "view": {"enabled": True, "cold": True} if view else {},
-    }  # fmt: skip
+    }
 
 
 def skewed(fronts: int, seed: int, lend: bool) -> Values:
@@ -58,11 +73,18 @@
     return {
         "fleet": {"fronts": fronts, "boxes": 4, "seconds": 42.0, "seed": seed},
         "box": {"units": 20.0 * fronts},
-        "load": {"rate": 6.5 * fronts, "volumes": 8, "hosts": fronts, "hot": 0.85, "skew": 10 / (9 + fronts),
-                 "skew_s": 7.0, "units": 1},
+        "load": {
+            "rate": 6.5 * fronts,
+            "volumes": 8,
+            "hosts": fronts,
+            "hot": 0.85,
+            "skew": 10 / (9 + fronts),
+            "skew_s": 7.0,
+            "units": 1,
+        },
         "plan": [{"name": "public", "rate": 100.0 * fronts, "limit": 5.0 * fronts}, {"name": "research"}],
         "view": {"enabled": True, "limits": lend},
-    }  # fmt: skip
+    }
 
 
 def at_once(settings: api.Settings) -> Core:
@@ -107,9 +129,7 @@
     quiet()
     scenario, fleet = make_scenario("loss", loss(fronts, seed, kind == "ours")), f"{fronts} in virtual time"
     played = emulate(scenario, at_once if kind == "at once" else core_of)
-    best = worth.over_time(
-        played.wishes, worth.ideal(scenario, played.wishes, played.power), played.began
-    )
+    best = worth.over_time(played.wishes, worth.ideal(scenario, played.wishes, played.power), played.began)
     rows = rows_of(fleet, kind, seed, over_time(scenario, played.wishes, played.began), best)
     if kind == "ours":
         rows += rows_of(fleet, "sees all", seed, best, [])
@@ -133,7 +153,7 @@
         *rows_of(fleet, kind, seed, earned, []),
         row(fleet, kind, seed, "most at a cold box", report.most_cold),
         row(fleet, kind, seed, "rules broken", len(report.broken)),
-    ]  # fmt: skip
+    ]
 
 
 def allowed(scenario: Scenario, wishes: Sequence[Wish]) -> int:
--- a/cleatyoke/emulate/traffic.py
+++ b/cleatyoke/emulate/traffic.py
@@ -3,7 +3,7 @@
 
 What the sockets do stays out: connections, heads and bodies, a busy processor, signals. A box takes a
 request when its last byte has come, ``LATENCY`` after it was sent. Troubles of processes that are stopped,
-lists that are spoilt and calls to hold are for real processes only. """
+lists that are spoilt and calls to hold are for real processes only."""
 
 from __future__ import annotations
 
@@ -104,8 +104,9 @@
         """Units a second that the boxes of a cell can do then."""
         return sum(
             BoxModel(self.scenario.power, born).rate(at)
-            for one, since, born, until in self.lives if one == cell and since <= at < until
-        )  # fmt: skip
+            for one, since, born, until in self.lives
+            if one == cell and since <= at < until
+        )
 
     def tell(self, front: VirtualFront, box: VirtualBox) -> None:
         if front.core is None or front.directory is None:
@@ -132,11 +133,15 @@
         if scenario.view:
             every = scenario.view.period / FLEET_TIMES["period"]
             peers = FleetPeers(
-                "emulated", address_of(front.number), address_of(front.number),
-                [address_of(one) for one in scenario.view.seeds], front.boot,
+                "emulated",
+                address_of(front.number),
+                address_of(front.number),
+                [address_of(one) for one in scenario.view.seeds],
+                front.boot,
                 {name: time * every for name, time in FLEET_TIMES.items()},
-                scenario.view.limits, scenario.view.cold,
-            )  # fmt: skip
+                scenario.view.limits,
+                scenario.view.cold,
+            )
             front.view = VirtualView(
                 self.ether, peers, f"n{front.number}", scenario.fronts, scenario.seed, self.faults
             )
@@ -243,10 +248,16 @@
             return None, 0.0
         plans, kinds = self.scenario.plans, self.scenario.kinds
         arrival = api.Arrival(
-            request=core.new_id(), class_index=kinds.index(kind), plan=drawn.volume % len(plans),
-            volume=drawn.volume, item=int(drawn.block, 16), cell=drawn.volume % self.scenario.boxes,
-            units=drawn.units, deadline=core.now() + kind.deadline, hosts=self.scenario.load.hosts,
-        )  # fmt: skip
+            request=core.new_id(),
+            class_index=kinds.index(kind),
+            plan=drawn.volume % len(plans),
+            volume=drawn.volume,
+            item=int(drawn.block, 16),
+            cell=drawn.volume % self.scenario.boxes,
+            units=drawn.units,
+            deadline=core.now() + kind.deadline,
+            hosts=self.scenario.load.hosts,
+        )
         task = asyncio.ensure_future(
             core.serve(arrival, lambda node, may: self.attempt(front, node, trace, asked))
         )
--- a/cleatyoke/emulate/worth.py
+++ b/cleatyoke/emulate/worth.py
@@ -2,7 +2,7 @@
 
 For each volume and second, units within the reserve earn the full worth of their class and plan, the rest
 the settings' part of it. A request that is served in time takes the best that is still due of its second, a
-late one what is then left, at its class's part (protocol page, Score). """
+late one what is then left, at its class's part (protocol page, Score)."""
 
 from __future__ import annotations
 
@@ -45,9 +45,10 @@
         asked: defaultdict[tuple[int, int], float] = defaultdict(float)
         for wish in wishes:
             asked[wish.volume, int(wish.at)] += wish.units
-        return cls(scenario, {
-            second: min(units, scenario.plan_of(second[0]).reserve) for second, units in asked.items()
-        })  # fmt: skip
+        return cls(
+            scenario,
+            {second: min(units, scenario.plan_of(second[0]).reserve) for second, units in asked.items()},
+        )
 
     def density(self, wish: Wish) -> float:
         """What a unit of it would earn, if it were served in time now."""
@@ -78,9 +79,7 @@
     return out
 
 
-def ideal(
-    scenario: Scenario, wishes: Sequence[Wish], power: Callable[[int, float], float]
-) -> list[float]:
+def ideal(scenario: Scenario, wishes: Sequence[Wish], power: Callable[[int, float], float]) -> list[float]:
     """By place, what one that sees everything earns: of each cell, slot by slot, what its box can do at that
     moment goes to what earns most a unit, as long as it is not late. ``power``: units a second of a cell."""
     reserves, out = Reserves.of(scenario, wishes), [0.0] * len(wishes)
--- a/cleatyoke/faults.py
+++ b/cleatyoke/faults.py
@@ -34,9 +34,11 @@
         def handler(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
             subject = context.get("future") or context.get("handle") or context.get("protocol")
             self.told(
-                "loop_fault", context.get("exception"),
-                why=context.get("message", ""), subject=type(subject).__name__,
-            )  # fmt: skip
+                "loop_fault",
+                context.get("exception"),
+                why=context.get("message", ""),
+                subject=type(subject).__name__,
+            )
 
         loop.set_exception_handler(handler)
 
--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -40,7 +40,7 @@
     decode_view,
     encode_datagram,
     encode_view,
-)  # fmt: skip
+)
 
 ACCUSERS = 3  # independent ones by which a suspicion is as short as it gets
 UNHEALTHY = 8  # most that local health counts
@@ -239,9 +239,16 @@
     """One life's view of the fleet."""
 
     def __init__(
-        self, deployment: str, name: str, boot: int, address: str, seeds: Sequence[str],
-        dice: random.Random, timing: Timing | None = None, alone: bool = False,
-    ) -> None:  # fmt: skip
+        self,
+        deployment: str,
+        name: str,
+        boot: int,
+        address: str,
+        seeds: Sequence[str],
+        dice: random.Random,
+        timing: Timing | None = None,
+        alone: bool = False,
+    ) -> None:
         self.deployment, self.address, self.alone = deployment, address, alone
         self.seeds = list(seeds)
         self.dice, self.timing = dice, timing or Timing()
@@ -313,9 +320,11 @@
         """Spread the first rounds, so that a fleet that starts as one does not go on as one."""
         timing, self.now = self.timing, now
         for name, every in (
-            ("probe", timing.period), ("gossip", timing.gossip), ("sync", timing.sync),
+            ("probe", timing.period),
+            ("gossip", timing.gossip),
+            ("sync", timing.sync),
             ("departed", timing.departed),
-        ):  # fmt: skip
+        ):
             self.next[name] = now + self.dice.random() * every
         self.next["swap"] = self.next["look"] = self.next["push"] = now  # not before
         self.joined = not self.other_seeds()
@@ -701,8 +710,10 @@
         self.sum ^= life.mark ^ mark
         life.mark = mark
         for kept, states in (
-            (self.present, HEARD_OF), (self.departed, (State.DEAD,)), (self.over, (State.LEFT,))
-        ):  # fmt: skip
+            (self.present, HEARD_OF),
+            (self.departed, (State.DEAD,)),
+            (self.over, (State.LEFT,)),
+        ):
             if state in states:
                 kept.setdefault(id)
             else:
@@ -725,9 +736,11 @@
             return
         life.since, life.accusers = self.now, {rumour.by} if rumour.state is State.SUSPECT else set()
         change = {
-            State.ALIVE: Change.RETURNED, State.SUSPECT: Change.SUSPECTED, State.DEAD: Change.DIED,
+            State.ALIVE: Change.RETURNED,
+            State.SUSPECT: Change.SUSPECTED,
+            State.DEAD: Change.DIED,
             State.LEFT: Change.LEFT,
-        }[rumour.state]  # fmt: skip
+        }[rumour.state]
         if old.state is State.DEAD and rumour.state in HEARD_OF:
             self.figures.false_deaths += 1
         if rumour.state in HEARD_OF and old.state not in HEARD_OF:
--- a/cleatyoke/fleet/recovery.py
+++ b/cleatyoke/fleet/recovery.py
@@ -93,8 +93,10 @@
     def lines(self, now: float) -> list[str]:
         """For ``show-recovery``."""
         out = [f"recovery.stage {self.stage.value}"]
-        out += [f"recovery.passed {one.stage.value} by={one.what.replace(' ', '-')} waited={one.waited:.3f}"
-                for one in self.passed]  # fmt: skip
+        out += [
+            f"recovery.passed {one.stage.value} by={one.what.replace(' ', '-')} waited={one.waited:.3f}"
+            for one in self.passed
+        ]
         if self.stage is not Stage.OPEN:
             out.append(f"recovery.waits {self.stage.value} for={max(0.0, self.ends_at() - now):.3f}")
         return out
--- a/cleatyoke/fleet/replicas.py
+++ b/cleatyoke/fleet/replicas.py
@@ -71,9 +71,12 @@
         there is held again, which is the safe side."""
         left = {life for dots in self.held.values() for life, _ in dots}
         gone = {
-            life for life in stopped if life in self.clock and life not in left
+            life
+            for life in stopped
+            if life in self.clock
+            and life not in left
             and all(copy.clock.get(life, 0) >= self.clock[life] for copy in everywhere)
-        }  # fmt: skip
+        }
         return Holds({life: number for life, number in self.clock.items() if life not in gone}, self.held)
 
 
--- a/cleatyoke/fleet/rights.py
+++ b/cleatyoke/fleet/rights.py
@@ -203,9 +203,9 @@
             account = self.accounts[resource]
             account.changed()
             self.forget(now, account)
-            if not (resource in self.homes or account.debts or any(
-                loan.leases for loan in account.loans.values()
-            )):  # fmt: skip
+            if not (
+                resource in self.homes or account.debts or any(loan.leases for loan in account.loans.values())
+            ):
                 del self.accounts[resource]  # as if it had never been asked for
                 continue
             if asked < MOST_ASKED:
--- a/cleatyoke/fleet/sharing.py
+++ b/cleatyoke/fleet/sharing.py
@@ -35,8 +35,10 @@
     def digest(self) -> int:
         """The same where the same is held by the same dots, and as much is known to be released."""
         clock = sorted((life.name, life.boot, number) for life, number in self.holds.clock.items())
-        held = sorted((box, sorted((life.name, life.boot, number) for life, number in dots))
-                      for box, dots in self.holds.held.items())  # fmt: skip
+        held = sorted(
+            (box, sorted((life.name, life.boot, number) for life, number in dots))
+            for box, dots in self.holds.held.items()
+        )
         return zlib.crc32(repr((clock, held)).encode())
 
     def dump(self) -> bytes:
--- a/cleatyoke/fleet/wire.py
+++ b/cleatyoke/fleet/wire.py
@@ -133,9 +133,7 @@
 encoder = msgspec.msgpack.Encoder()
 
 
-def encode_datagram(
-    deployment: str, sender: Rumour, body: Body, rumours: list[Rumour]
-) -> tuple[bytes, int]:
+def encode_datagram(deployment: str, sender: Rumour, body: Body, rumours: list[Rumour]) -> tuple[bytes, int]:
     """The datagram, and how many of the rumours, from the first on, had room in it."""
     head = len(encoder.encode(Datagram(deployment, VERSION, sender, body, []))) + 3 + SUM  # and its length's
     used, size = 0, head
--- a/cleatyoke/middleware.py
+++ b/cleatyoke/middleware.py
@@ -22,9 +22,7 @@
     """Raised by a handler that is certain to have had no effect, such as one whose node turned it away."""
 
 
-def scheduled(
-    core: Core, describe: Callable[[web.Request], Awaitable[api.Arrival | None]]
-) -> Middleware:
+def scheduled(core: Core, describe: Callable[[web.Request], Awaitable[api.Arrival | None]]) -> Middleware:
     @web.middleware
     async def middleware(request: web.Request, handler: Handler) -> web.StreamResponse:
         ask = await describe(request)
--- a/cleatyoke/net/boxes.py
+++ b/cleatyoke/net/boxes.py
@@ -29,7 +29,7 @@
     decode_probe,
     encode_attempt,
     encode_probe,
-)  # fmt: skip
+)
 from cleatyoke.net.sockets import unread
 
 IDLE_SHARE = 0.5  # of the boxes' idle limit (settings), after which a pooled connection is dropped
@@ -246,9 +246,13 @@
     """Attempts at the boxes of the directory. ``most`` bounds the connections to all of them."""
 
     def __init__(
-        self, directory: Directory, dial_timeout: float, idle_close: float, most: int,
+        self,
+        directory: Directory,
+        dial_timeout: float,
+        idle_close: float,
+        most: int,
         figures: Figures | None = None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.directory, self.dial_timeout, self.most = directory, dial_timeout, most
         self.figures = figures or Figures()
         self.keep = idle_close * IDLE_SHARE
--- a/cleatyoke/net/discovery.py
+++ b/cleatyoke/net/discovery.py
@@ -57,9 +57,16 @@
     """Keeps the directory, and through it the policy, told: by one watch, or amid a move by two."""
 
     def __init__(
-        self, address: Address, directory: Directory, tell: Callable[[api.Event], None],
-        hosts: int = 1, seed: int = 0, faults: Faults | None = None, pushed: bool = False, grace: float = 1.0,
-    ) -> None:  # fmt: skip
+        self,
+        address: Address,
+        directory: Directory,
+        tell: Callable[[api.Event], None],
+        hosts: int = 1,
+        seed: int = 0,
+        faults: Faults | None = None,
+        pushed: bool = False,
+        grace: float = 1.0,
+    ) -> None:
         """``pushed``: lists come from an agent of the front's own, which a call costs nothing, and what it
         has counts as told at once; else calls load a service that all fronts share. ``grace``: seconds after
         a change was told in which a node may still be sent to, by the rule on drains."""
@@ -74,9 +81,7 @@
         self.down: dict[tuple[str, float], tuple[float, Watch]] = {}  # lives that leave: when told, by whom
         self.withheld: dict[str, Instance] = {}  # what a list said of nodes that another agent had said leave
 
-    def take(
-        self, listing: Listing, kind: api.ListKind | None = None, watch: Watch | None = None
-    ) -> None:
+    def take(self, listing: Listing, kind: api.ListKind | None = None, watch: Watch | None = None) -> None:
         """A list goes to the directory and, in the same turn, to the policy."""
         if watch:
             listing = self.compare(listing, watch)
@@ -195,9 +200,11 @@
         """Where a change may have been missed, the whole list comes first."""
         timeout = aiohttp.ClientTimeout(total=None)  # each wait has its own
         async with aiohttp.ClientSession(
-            timeout=timeout, cookie_jar=aiohttp.DummyCookieJar(), read_bufsize=READ_AHEAD,
+            timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            read_bufsize=READ_AHEAD,
             connector=aiohttp.TCPConnector(limit=0, force_close=self.owner.pushed),
-        ) as session:  # fmt: skip
+        ) as session:
             while self not in self.owner.retired:
                 self.answered, silent = False, False
                 try:
--- a/cleatyoke/net/fleet.py
+++ b/cleatyoke/net/fleet.py
@@ -43,7 +43,7 @@
     Send,
     Timing,
     Told,
-)  # fmt: skip
+)
 from cleatyoke.fleet.rights import Came, Need, Part, Peers, Rights
 from cleatyoke.fleet.rights import Event as RightsEvent
 from cleatyoke.fleet.sharing import Sharing
@@ -92,13 +92,23 @@
         self.loop = asyncio.get_running_loop()
         boot, times = peers.boot or boot or int(time.time() * 1000), peers.timing
         timing = Timing(
-            period=times["period"], answer=times["answer"], gossip=times["gossip"], sync=times["sync"],
-            departed=times["departed"], join=times["join"],
-        )  # fmt: skip
+            period=times["period"],
+            answer=times["answer"],
+            gossip=times["gossip"],
+            sync=times["sync"],
+            departed=times["departed"],
+            join=times["join"],
+        )
         self.members = Members(
-            peers.deployment, name, boot, told(peers.advertise), [told(one) for one in peers.seeds],
-            random.Random(f"{seed}:{name}:{boot}"), timing, alone=True,
-        )  # fmt: skip
+            peers.deployment,
+            name,
+            boot,
+            told(peers.advertise),
+            [told(one) for one in peers.seeds],
+            random.Random(f"{seed}:{name}:{boot}"),
+            timing,
+            alone=True,
+        )
         self.copies = self.members.store = Sharing(lambda: self.members.id)
         self.rights = Rights(self.loop.time(), random.Random(f"rights:{seed}:{name}:{boot}"))
         self.differ: list[str] = []  # fronts of other settings, as the log was told
@@ -257,9 +267,7 @@
     def say(self, settings: api.Settings) -> None:
         """Tell the others which settings this front goes by, that fronts of a fleet notice where they differ.
         What is a process's own is left out."""
-        shared = dataclasses.replace(
-            settings, seed=0, quiet_since=None, limit_share=1.0, taken_over=False
-        )
+        shared = dataclasses.replace(settings, seed=0, quiet_since=None, limit_share=1.0, taken_over=False)
         self.members.goes_by(zlib.crc32(repr(shared).encode()))
 
     def look_at_settings(self) -> None:
@@ -448,15 +456,25 @@
         members, found = self.members, self.conclusion()
         me = members.me()
         place = "alone" if me.alone else "beside"
-        out = [f"fleet.me {me.id.name} {me.id.boot} {me.count} {me.address} {place}",
-               f"fleet.count {found.count}", f"fleet.digest {members.digest():08x}"]  # fmt: skip
+        out = [
+            f"fleet.me {me.id.name} {me.id.boot} {me.count} {me.address} {place}",
+            f"fleet.count {found.count}",
+            f"fleet.digest {members.digest():08x}",
+        ]
         for life in sorted(members.lives.values(), key=lambda life: life.rumour.id):
             one = life.rumour
-            sure = ("certainly-up" if one.id in found.certainly_up else
-                    "certainly-stopped" if one.id in found.certainly_stopped else "perhaps-up")  # fmt: skip
+            sure = (
+                "certainly-up"
+                if one.id in found.certainly_up
+                else "certainly-stopped"
+                if one.id in found.certainly_stopped
+                else "perhaps-up"
+            )
             silent = f"{members.now - life.heard:.1f}" if life.heard > 0 else "never"
-            out.append(f"fleet.life {one.id.name} {one.id.boot} {one.count} {one.address} "
-                       f"{one.state.name.lower()} {sure} heard={silent}")  # fmt: skip
+            out.append(
+                f"fleet.life {one.id.name} {one.id.boot} {one.count} {one.address} "
+                f"{one.state.name.lower()} {sure} heard={silent}"
+            )
         return out
 
     def replica_lines(self) -> list[str]:
--- a/cleatyoke/net/messages.py
+++ b/cleatyoke/net/messages.py
@@ -256,9 +256,13 @@
 
     def read_head(self, head: bytes) -> None:
         parser = HttpResponseParser(
-            BaseProtocol(self.loop, parser=None), self.loop, 4 * MOST_WHOLE, auto_decompress=False,
-            max_line_size=MOST_HEAD, max_field_size=MOST_HEAD,
-        )  # fmt: skip
+            BaseProtocol(self.loop, parser=None),
+            self.loop,
+            4 * MOST_WHOLE,
+            auto_decompress=False,
+            max_line_size=MOST_HEAD,
+            max_field_size=MOST_HEAD,
+        )
         try:
             messages, upgraded, _ = parser.feed_data(head)
         except (HttpProcessingError, ValueError) as error:
--- a/cleatyoke/net/recall.py
+++ b/cleatyoke/net/recall.py
@@ -97,6 +97,10 @@
 
     def figures(self) -> list[str]:
         writer = self.writer
-        facts = {"writes": writer.writes, "failures": writer.failures, "behind": writer.given - writer.kept,
-                 "failing": len(writer.doubts)}  # fmt: skip
+        facts = {
+            "writes": writer.writes,
+            "failures": writer.failures,
+            "behind": writer.given - writer.kept,
+            "failing": len(writer.doubts),
+        }
         return [f"durable.{name}={value}" for name, value in facts.items()]
--- a/cleatyoke/net/server.py
+++ b/cleatyoke/net/server.py
@@ -143,9 +143,12 @@
             super()._process_keepalive()
 
     def handle_error(
-        self, request: web.BaseRequest, status: int = 500, exc: BaseException | None = None,
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
         message: str | None = None,
-    ) -> web.StreamResponse:  # fmt: skip
+    ) -> web.StreamResponse:
         """A message that cannot be read: aiohttp would log a trace for each, and clients may send floods."""
         if status == 500:
             log.error("answer_fault", exc_info=exc)
@@ -159,7 +162,7 @@
 
     def __init__(
         self, config: Config, core: Core, boxes: Boxes, ready: Callable[[], bool], drain: Drain | None = None
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.config, self.core, self.boxes, self.ready = config, core, boxes, ready
         self.drain, self.figures = drain or Drain(), boxes.figures
         self.sweeper: asyncio.TimerHandle | None = None
@@ -220,9 +223,15 @@
 
     def admit(self) -> Client:
         client = Client(
-            self, keepalive_timeout=IDLE, access_log=None, auto_decompress=False, lingering_time=0.0,
-            max_line_size=MOST_HEAD, max_field_size=MOST_HEAD, max_headers=MOST_FIELDS,
-        )  # fmt: skip
+            self,
+            keepalive_timeout=IDLE,
+            access_log=None,
+            auto_decompress=False,
+            lingering_time=0.0,
+            max_line_size=MOST_HEAD,
+            max_field_size=MOST_HEAD,
+            max_headers=MOST_FIELDS,
+        )
         self.clients.add(client)
         self.silent[client] = None
         return client
@@ -393,9 +402,7 @@
             case Failed():
                 return web.Response(status=502)
 
-    async def pass_on(
-        self, body: LongBody, request: web.BaseRequest, client: Client
-    ) -> web.StreamResponse:
+    async def pass_on(self, body: LongBody, request: web.BaseRequest, client: Client) -> web.StreamResponse:
         """A long answer, each piece as it comes. Where the box does not give the whole of it, the connection
         ends, so that the client can tell."""
         response = web.StreamResponse()
--- a/cleatyoke/net/sockets.py
+++ b/cleatyoke/net/sockets.py
@@ -62,9 +62,12 @@
     nothing more; ``parted`` is called once the descriptor is free."""
 
     def __init__(
-        self, inner: asyncio.Transport, protocol: asyncio.Protocol, parts: Callable[[PartingTransport], None],
+        self,
+        inner: asyncio.Transport,
+        protocol: asyncio.Protocol,
+        parts: Callable[[PartingTransport], None],
         parted: Callable[[PartingTransport], None],
-    ) -> None:  # fmt: skip
+    ) -> None:
         super().__init__()
         self.inner, self.protocol, self.parts, self.parted = inner, protocol, parts, parted
         self.parting = False
@@ -189,9 +192,13 @@
     pauses for a second once there are none left."""
 
     def __init__(
-        self, host: str, port: int, room: Callable[[], bool], make: Callable[[], asyncio.Protocol],
+        self,
+        host: str,
+        port: int,
+        room: Callable[[], bool],
+        make: Callable[[], asyncio.Protocol],
         inherited: int | None = None,
-    ) -> None:  # fmt: skip
+    ) -> None:
         self.loop, self.room, self.make = asyncio.get_running_loop(), room, make
         if inherited is None:
             family = socket.AF_INET6 if ":" in host else socket.AF_INET
--- a/cleatyoke/retune.py
+++ b/cleatyoke/retune.py
@@ -47,18 +47,27 @@
 
 
 def follow_settings(
-    old: api.Settings, new: api.Settings, classes: Places, class_names: Sequence[str],
-    plans: Places, plan_names: Sequence[str],
-) -> api.Settings:  # fmt: skip
+    old: api.Settings,
+    new: api.Settings,
+    classes: Places,
+    class_names: Sequence[str],
+    plans: Places,
+    plan_names: Sequence[str],
+) -> api.Settings:
     """The settings that hold from now on: the new ones with every class and plan at its place, and what
     belongs to this life of the process (its seed, when it began) as it was."""
     kinds = classes.arrange(old.classes, class_names, new.classes)
     for place in classes.retired():
         kinds[place] = replace(kinds[place], worth=RETIRED)
     return replace(
-        new, classes=kinds, plans=plans.arrange(old.plans, plan_names, new.plans), seed=old.seed,
-        quiet_since=old.quiet_since, limit_share=old.limit_share, taken_over=old.taken_over,
-    )  # fmt: skip
+        new,
+        classes=kinds,
+        plans=plans.arrange(old.plans, plan_names, new.plans),
+        seed=old.seed,
+        quiet_since=old.quiet_since,
+        limit_share=old.limit_share,
+        taken_over=old.taken_over,
+    )
 
 
 def follow_writes(
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -8,7 +8,7 @@
 
 import math
 import random
-from collections import defaultdict, deque
+from collections import deque
 from heapq import heapify, heappop, heapreplace
 
 from cleatyoke import api
@@ -31,6 +31,7 @@
 SPARE_MOST = 64.0  # times its start that a node's spare rate may reach: all that a volume asks
 ROOM_MOST = 2.0  # times its usual rate that a host may count on at a cold node, however idle the nodes are
 SLACK_SHARE = 0.5  # of the settings' slack of a limit, which hosts that start may use at once
+Floats = list[float]  # one for each class
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
 
@@ -102,7 +103,7 @@
                     self.share.change(part, now)
                 case api.Lent(volume, part):
                     self.lending.tell(volume, part, self.volumes, self.share.time(now))
-                case api.LentNode(name, part) if (node := self.nodes.get(name)):
+                case api.LentNode(name, part) if node := self.nodes.get(name):
                     self.bears_at(node)  # what is paid off until now, by the part before
                     node.lent = part
                 case api.Retuned():
@@ -165,11 +166,9 @@
         """Forget what no longer matters, so that a long life does not fill the memory."""
         oldest, idle = self.now - max(kind.aim for kind in self.settings.classes) - 1, self.now - IDLE
         self.volumes = {name: volume for name, volume in self.volumes.items() if volume.reserve.filled > idle}
+        gone = self.table.forget_idle(idle)
         for volume in self.volumes.values():
-            volume.due = defaultdict(float, {at: due for at, due in volume.due.items() if at >= oldest})
-        for node in self.table.forget_idle(idle):
-            for volume in self.volumes.values():
-                volume.shares.pop(node.id, None)
+            volume.forget(oldest, gone)
         self.tries = {item: tried for item, tried in self.tries.items() if tried[1] > oldest}
         self.keys = {key: queue for key, queue in self.keys.items() if queue}
         self.key_rest = {key: rest for key, rest in self.key_rest.items() if rest > self.now}
@@ -438,8 +437,8 @@
         self.tune(event.settings)
         count, fresh = len(event.settings.classes), len(event.settings.classes) - len(self.bounds)
         even = 1.0 / max(1, count - len(event.retired))
-        parts = [0.0 if index in event.retired else bound or even
-                 for index, bound in enumerate(self.bounds + [0.0] * fresh)]
+        bounds = self.bounds + [0.0] * fresh
+        parts = [0.0 if index in event.retired else bound or even for index, bound in enumerate(bounds)]
         self.bounds = [part / (sum(parts) or 1.0) for part in parts]
         self.asks = list(self.bounds)
         self.history = [[] for _ in range(count)]
@@ -476,8 +475,8 @@
         answered = self.now + self.answer_time(request, node)
         if answered >= request.deadline - MARGIN or not self.within_group(request, node):
             return math.inf
-        return max(self.in_turn_at(request), self.within_budget_at(request), self.within_limit_at(request),
-                   self.bears_at(node))
+        allowed = max(self.in_turn_at(request), self.within_budget_at(request), self.within_limit_at(request))
+        return max(allowed, self.bears_at(node))
 
     def in_turn_at(self, request: Request) -> float:
         """Order by key: the oldest of its key, once the key has rested."""
@@ -591,8 +590,9 @@
                     self.touch(follower.cell)
 
 
-def arbitrate(bounds: list[float], asks: list[float], performance: list[float],
-              slopes: list[float | None], worths: list[float]) -> list[float]:
+def arbitrate(
+    bounds: Floats, asks: Floats, performance: Floats, slopes: list[float | None], worths: Floats
+) -> Floats:
     """Asks that fit are granted and spare goes by worth; otherwise worth x (1 - performance) is evened."""
     if sum(asks) <= 1:
         spare = 1 - sum(asks)
--- a/cleatyoke/sftp/front.py
+++ b/cleatyoke/sftp/front.py
@@ -139,8 +139,11 @@
     def above(self, path: str) -> list[Name]:
         """The entries of a folder that holds volumes and belongs to none: it is listed without a box."""
         start = path.rstrip("/") + "/"
-        found = {one.prefix[len(start) :].partition("/")[0] for one in self.config.volumes
-                 if one.prefix.startswith(start)}  # fmt: skip
+        found = {
+            one.prefix[len(start) :].partition("/")[0]
+            for one in self.config.volumes
+            if one.prefix.startswith(start)
+        }
         inside = any(start.startswith(one.prefix + "/") for one in self.config.volumes)
         return [] if inside else [Name(one, one, Attrs(permissions=DIRECTORY)) for one in sorted(found)]
 
@@ -178,9 +181,7 @@
 class Session:
     """One client's connection. Its commands are answered in turn; while one waits, a close is noticed."""
 
-    def __init__(
-        self, front: FileFront, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    def __init__(self, front: FileFront, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.front, self.reader, self.writer = front, reader, writer
         self.handles: dict[bytes, Reading | Writing | Listed] = {}
         self.numbered = 0
--- a/cleatyoke/sftp/packets.py
+++ b/cleatyoke/sftp/packets.py
@@ -253,10 +253,30 @@
 KNOWN: dict[int, type[Packet]] = {
     kind.type: kind
     for kind in (
-        Init, Version, Open, Close, Read, Write, Lstat, Fstat, Setstat, Opendir, Readdir, Remove, Mkdir,
-        Rmdir, Realpath, Stat, Rename, Status, Handle, Data, Names, AttrsReply,
+        Init,
+        Version,
+        Open,
+        Close,
+        Read,
+        Write,
+        Lstat,
+        Fstat,
+        Setstat,
+        Opendir,
+        Readdir,
+        Remove,
+        Mkdir,
+        Rmdir,
+        Realpath,
+        Stat,
+        Rename,
+        Status,
+        Handle,
+        Data,
+        Names,
+        AttrsReply,
     )
-}  # fmt: skip
+}
 
 
 class Bytes:
--- a/cleatyoke/standin/agent.py
+++ b/cleatyoke/standin/agent.py
@@ -45,9 +45,7 @@
     """The agent of one front. ``late``: seconds by which it passes on what it hears. ``spoils``: what it
     serves in place of a list (``garble``, ``empty``, ``silent``), or nothing."""
 
-    def __init__(
-        self, front: int, registry: Registry, judge: Judge, clock: Callable[[], float]
-    ) -> None:
+    def __init__(self, front: int, registry: Registry, judge: Judge, clock: Callable[[], float]) -> None:
         super().__init__()
         self.front, self.registry, self.judge, self.clock = front, registry, judge, clock
         self.late, self.spoils = 0.0, ""
--- a/cleatyoke/standin/box.py
+++ b/cleatyoke/standin/box.py
@@ -106,9 +106,7 @@
         made = self.judge.attempt(trace, self.name, came, self.cell, self.zone, form)
         if model.born is not None and now - model.born < model.power.ramp:
             power = model.power
-            self.judge.bears(
-                self.name, came, units, power.tip_multiple * model.rate(now) * power.tip_after
-            )
+            self.judge.bears(self.name, came, units, power.tip_multiple * model.rate(now) * power.tip_after)
         ticket = model.take(now, trace, units)
         self.fates[ticket.fate.value] += 1
         try:
--- a/cleatyoke/standin/clients.py
+++ b/cleatyoke/standin/clients.py
@@ -81,16 +81,21 @@
         """One try, from its connection to the one answer."""
         block, volume, kind, units = drawn.block, drawn.volume, drawn.kind, drawn.units
         load, shard, door, moves = (
-            self.scenario.load, volume % self.scenario.boxes, self.doors[drawn.front], drawn.moves
-        )  # fmt: skip
+            self.scenario.load,
+            volume % self.scenario.boxes,
+            self.doors[drawn.front],
+            drawn.moves,
+        )
         if kind.write and moves < load.fresh:
             shard = -1
         elif not kind.write and moves < load.reread and self.written:
             block, shard = self.written[int(moves / load.reread * len(self.written))]
         form = Form(
-            "PUT" if kind.write else "GET", f"/api?block={block}",
-            f"key-{trace}" if kind.repeat is Repeat.KEYED else None, b"scan" if kind.write else b"",
-        )  # fmt: skip
+            "PUT" if kind.write else "GET",
+            f"/api?block={block}",
+            f"key-{trace}" if kind.repeat is Repeat.KEYED else None,
+            b"scan" if kind.write else b"",
+        )
         key = f"Idempotency-Key: {form.key}\r\n" if form.key else ""
         mark = "X-Second-Try: 1\r\n" if again else ""
         message = (
@@ -123,9 +128,13 @@
         return asked
 
     async def exchange(
-        self, trace: str, message: bytes, connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
-        door: Door, asked: Asked,
-    ) -> bool:  # fmt: skip
+        self,
+        trace: str,
+        message: bytes,
+        connection: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        door: Door,
+        asked: Asked,
+    ) -> bool:
         """Whether that was all. A connection that ends without a byte may have crossed the request."""
         reader, writer = connection
         head, sent = b"", self.clock()
--- a/cleatyoke/standin/draw.py
+++ b/cleatyoke/standin/draw.py
@@ -48,20 +48,27 @@
     values: Values = {
         "fleet": {"fronts": fronts, "boxes": boxes, "zones": zones, "seconds": seconds, "seed": seed},
         "load": {
-            "rate": round(min(MOST_RATE, cells * dice.uniform(0.4, 1.3)), 1), "hosts": hosts,
-            "volumes": boxes * dice.randint(2, 5), "hot": round(dice.uniform(0, 0.4), 2),
-            "units": least, "units_most": largest,
-            "fresh": dice.choice((0.0, 0.3, 0.8)), "reread": dice.choice((0.0, 0.4)),
+            "rate": round(min(MOST_RATE, cells * dice.uniform(0.4, 1.3)), 1),
+            "hosts": hosts,
+            "volumes": boxes * dice.randint(2, 5),
+            "hot": round(dice.uniform(0, 0.4), 2),
+            "units": least,
+            "units_most": largest,
+            "fresh": dice.choice((0.0, 0.3, 0.8)),
+            "reread": dice.choice((0.0, 0.4)),
         },
         "box": {
-            "units": power, "cold_from": cold_from, "tip_multiple": TIP_MULTIPLE,
-            "ramp_s": round(dice.uniform(3, 8), 1), "tip_after_s": tip_after,
+            "units": power,
+            "cold_from": cold_from,
+            "tip_multiple": TIP_MULTIPLE,
+            "ramp_s": round(dice.uniform(3, 8), 1),
+            "tip_after_s": tip_after,
         },
         "class": classes(dice) if theme == "settings" else [],
         "plan": plans(dice, hosts, largest, theme == "trouble"),
         "terms": terms(dice) if theme == "settings" else {},
         "trouble": [],
-    }  # fmt: skip
+    }
     most = dice.randint(2, 5) if theme == "trouble" else dice.randint(0, 3)
     values["trouble"] = [trouble(dice, fronts, boxes, seconds) for _ in range(most)]
     if theme == "settings":  # repeats are what settings differ in most
@@ -75,14 +82,20 @@
     out: list[Values] = []
     for number in range(dice.randint(1, 6)):
         aim = round(dice.uniform(0.1, 2.0), 2)
-        out.append({
-            "name": f"kind-{number}", "share": round(dice.uniform(0.1, 1.0), 2), "aim_s": aim,
-            "deadline_s": round(max(0.2, min(8.0, aim * dice.uniform(1.0, 6.0))), 2),
-            "worth": float(dice.randint(1, 5)), "late": round(dice.uniform(0, 0.3), 2),
-            "repeat": dice.choice(list(REPEATS)) if number else "by_key",
-            "scope": dice.choice([scope.value for scope in api.Scope]),
-            "memory_s": round(dice.uniform(0.3, 6.0), 1), "write": not number or dice.random() < 0.5,
-        })  # fmt: skip
+        out.append(
+            {
+                "name": f"kind-{number}",
+                "share": round(dice.uniform(0.1, 1.0), 2),
+                "aim_s": aim,
+                "deadline_s": round(max(0.2, min(8.0, aim * dice.uniform(1.0, 6.0))), 2),
+                "worth": float(dice.randint(1, 5)),
+                "late": round(dice.uniform(0, 0.3), 2),
+                "repeat": dice.choice(list(REPEATS)) if number else "by_key",
+                "scope": dice.choice([scope.value for scope in api.Scope]),
+                "memory_s": round(dice.uniform(0.3, 6.0), 1),
+                "write": not number or dice.random() < 0.5,
+            }
+        )
     return out
 
 
@@ -93,10 +106,12 @@
     for number in range(dice.randint(1, 3)):
         rate = round(dice.uniform(3, 12), 1)
         plan: Values = {
-            "name": f"plan-{number}", "rate": rate,
+            "name": f"plan-{number}",
+            "rate": rate,
             "reserve": round(rate * dice.choice((0.0, 0.5, 0.8, 1.0)), 2),
-            "weight": float(dice.randint(1, 3)), "worth": round(dice.uniform(0.8, 1.5), 2),
-        }  # fmt: skip
+            "weight": float(dice.randint(1, 3)),
+            "worth": round(dice.uniform(0.8, 1.5), 2),
+        }
         if (limited and number == 0) or dice.random() < 0.4:
             limit = round(rate * dice.uniform(1, 4), 1)
             burst = max(2.0 * largest * hosts, round(limit * dice.uniform(1, 2), 1))
@@ -108,11 +123,15 @@
 def terms(dice: random.Random) -> Values:
     report = dice.choice(list(REPORTS))
     return {
-        "attempts": dice.randint(1, 6), "drain_grace_s": round(dice.uniform(0.2, 2.0), 2),
-        "cancel": dice.random() < 0.8, "report": report,
-        "probes": report == "probe" or dice.random() < 0.5, "dial_s": dice.choice((0.1, 0.25, 0.5)),
-        "idle_s": dice.choice((2.0, 15.0, 30.0)), "retry_after_s": dice.choice((0.0, 0.5, 5.0)),
-    }  # fmt: skip
+        "attempts": dice.randint(1, 6),
+        "drain_grace_s": round(dice.uniform(0.2, 2.0), 2),
+        "cancel": dice.random() < 0.8,
+        "report": report,
+        "probes": report == "probe" or dice.random() < 0.5,
+        "dial_s": dice.choice((0.1, 0.25, 0.5)),
+        "idle_s": dice.choice((2.0, 15.0, 30.0)),
+        "retry_after_s": dice.choice((0.0, 0.5, 5.0)),
+    }
 
 
 def trouble(dice: random.Random, fronts: int, boxes: int, seconds: float) -> Values:
--- a/cleatyoke/standin/judge.py
+++ b/cleatyoke/standin/judge.py
@@ -209,8 +209,10 @@
         else:
             for made in later:
                 near = {
-                    Scope.ALL: True, Scope.ZONE: made.zone == first.zone, Scope.CELL: made.cell == first.cell
-                }[kind.scope]  # fmt: skip
+                    Scope.ALL: True,
+                    Scope.ZONE: made.zone == first.zone,
+                    Scope.CELL: made.cell == first.cell,
+                }[kind.scope]
                 if not near or made.began > first.began + kind.memory + SLACK:
                     where = f"{made.box} {made.began - first.began:.2f} s after {first.box}"
                     out.append(f"key: {trace} went to {where}, where its repeat is not dropped")
--- a/cleatyoke/standin/peer.py
+++ b/cleatyoke/standin/peer.py
@@ -44,8 +44,10 @@
             self.port = int(self.held.getsockname()[1])
         self.server = await loop.create_server(
             lambda: asyncio.StreamReaderProtocol(TimedReader(loop=loop), self.connected, loop=loop),
-            "127.0.0.1", self.port, backlog=512,
-        )  # fmt: skip
+            "127.0.0.1",
+            self.port,
+            backlog=512,
+        )
         return self
 
     async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/cleatyoke/standin/play.py
+++ b/cleatyoke/standin/play.py
@@ -82,8 +82,10 @@
             f"front starts {self.starts}; most at a cold box {self.most_cold:.2f} of what it bears",
             "at the boxes: " + " ".join(f"{name}={count}" for name, count in sorted(self.fates.items())),
             f"log lines: {events}",
-            *(f"one view {f'{took:.1f} s' if took is not None else 'never'} after {kind}"
-              for kind, took in self.views),
+            *(
+                f"one view {f'{took:.1f} s' if took is not None else 'never'} after {kind}"
+                for kind, took in self.views
+            ),
             *([f"holds: {', '.join(self.held)}"] if self.held else []),
             *(f"fault: {one}" for one in self.faults[:20]),
             *(f"BROKEN {one}" for one in self.broken[:20]),
@@ -131,9 +133,14 @@
         kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
         words = ["--fronts", str(self.folder / "fronts.toml")] if self.play.relay else []
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cleatyoke", *words, cwd=self.play.program, stderr=asyncio.subprocess.PIPE,
+            sys.executable,
+            "-m",
+            "cleatyoke",
+            *words,
+            cwd=self.play.program,
+            stderr=asyncio.subprocess.PIPE,
             env={**kept, "RELAY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder)},
-        )  # fmt: skip
+        )
         self.watching = asyncio.create_task(self.watch(self.process))
         async with asyncio.timeout(START):
             await self.ready.wait()
@@ -249,13 +256,21 @@
         assert self.relay and self.scenario.view
         view, relay = self.scenario.view, self.relay
         times = {"period": 1.0, "answer": 0.3, "gossip": 0.2, "sync": 20.0, "departed": 2.0, "join": 2.0}
-        return "\n".join([
-            "[fleet]", "enabled = true", 'deployment = "standin"', f'listen = "{relay.home(front)}"',
-            f'advertise = "{relay.known(front)}"', f"seeds = {[relay.known(one) for one in view.seeds]}",
-            f"limits = {str(view.limits).lower()}", f"cold = {str(view.cold).lower()}",
-            f'durable = "{self.folder / f"n{front}" / "durable" if view.durable else ""}"',
-            *(f"{name}_s = {view.period * share:g}" for name, share in times.items()), "",
-        ])  # fmt: skip
+        return "\n".join(
+            [
+                "[fleet]",
+                "enabled = true",
+                'deployment = "standin"',
+                f'listen = "{relay.home(front)}"',
+                f'advertise = "{relay.known(front)}"',
+                f"seeds = {[relay.known(one) for one in view.seeds]}",
+                f"limits = {str(view.limits).lower()}",
+                f"cold = {str(view.cold).lower()}",
+                f'durable = "{self.folder / f"n{front}" / "durable" if view.durable else ""}"',
+                *(f"{name}_s = {view.period * share:g}" for name, share in times.items()),
+                "",
+            ]
+        )
 
     # Boxes
 
@@ -270,9 +285,15 @@
         born = box.model.born
         started = 0 if born is None else int((born + self.unix) * 1000)
         await self.registry.set(
-            box.name, hostPort=f"127.0.0.1:{box.port}", zone=box.zone, machineType="m1", cell=box.cell,
-            lifecycle=lifecycle, weight=1.0, startedAtMs=started,
-        )  # fmt: skip
+            box.name,
+            hostPort=f"127.0.0.1:{box.port}",
+            zone=box.zone,
+            machineType="m1",
+            cell=box.cell,
+            lifecycle=lifecycle,
+            weight=1.0,
+            startedAtMs=started,
+        )
 
     async def trouble_box(self, cell: int, trouble: Trouble) -> None:
         if trouble.kind not in LIFE_TROUBLES:
@@ -427,9 +448,10 @@
             asked = [self.fronts[number] for number in before]
             views = await asyncio.gather(*(front.show_fleet() for front in asked))
             still = {
-                front.number: view for front, view in zip(asked, views)
+                front.number: view
+                for front, view in zip(asked, views)
                 if front.door.open and front.process is before[front.number]
-            }  # fmt: skip
+            }
             self.views.seen(self.clock(), still)
             await asyncio.sleep(LOOK)
 
--- a/cleatyoke/standin/relay.py
+++ b/cleatyoke/standin/relay.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+from functools import partial
 from typing import Any
 
 from cleatyoke.emulate.network import Network
@@ -54,7 +55,7 @@
         for front in range(self.fronts):
             host = self.known(front).partition(":")[0]
             socket, _ = await self.loop.create_datagram_endpoint(
-                lambda front=front: Ear(self, front), local_addr=(host, self.port)  # type: ignore[misc]
+                partial(Ear, self, front), local_addr=(host, self.port)
             )
             self.sockets.append(socket)
 
--- a/cleatyoke/standin/scenario.py
+++ b/cleatyoke/standin/scenario.py
@@ -348,25 +348,54 @@
     return {
         "Areas": scenario.zones,
         "Contracts": [
-            {"Name": plan.name, "BaseRate": plan.rate, "FloorRate": plan.reserve, "Limit": plan.limit,
-             "LimitBurst": plan.burst, "CapSlack": plan.slack, "Proportion": plan.weight,
-             "WorthFactor": plan.worth}
+            {
+                "Name": plan.name,
+                "BaseRate": plan.rate,
+                "FloorRate": plan.reserve,
+                "Limit": plan.limit,
+                "LimitBurst": plan.burst,
+                "CapSlack": plan.slack,
+                "Proportion": plan.weight,
+                "WorthFactor": plan.worth,
+            }
             for plan in scenario.plans
         ],
         "Lanes": [
-            {"Name": kind.name, "AimS": kind.aim, "GiveUpS": kind.deadline, "Worth": kind.worth,
-             "LateShare": kind.late_share, "Repeat": NAMES[kind.repeat], "DedupScope": kind.scope.value,
-             "MemorySpanS": kind.memory}
+            {
+                "Name": kind.name,
+                "AimS": kind.aim,
+                "GiveUpS": kind.deadline,
+                "Worth": kind.worth,
+                "LateShare": kind.late_share,
+                "Repeat": NAMES[kind.repeat],
+                "DedupScope": kind.scope.value,
+                "MemorySpanS": kind.memory,
+            }
             for kind in scenario.kinds
         ],
-        "PolicyLimits": {"Cancel": terms.cancel, "SendCap": terms.attempts, "DialTimeoutS": terms.dial,
-                         "IdleCloseS": terms.idle, "Probes": terms.probes, **retry},
+        "PolicyLimits": {
+            "Cancel": terms.cancel,
+            "SendCap": terms.attempts,
+            "DialTimeoutS": terms.dial,
+            "IdleCloseS": terms.idle,
+            "Probes": terms.probes,
+            **retry,
+        },
         "Report": {"How": terms.report, "Fields": ["queue", "util"] if terms.report != "none" else []},
-        "Safety": {"ColdFrom": power.cold_from, "RampTimeS": power.ramp,
-                   "StopSendingWithinS": terms.drain_grace,
-                   "TipMultiple": power.tip_multiple, "TipAfterS": power.tip_after},
-        "Extra": {"ColdUnits": power.units * power.cold_from * power.tip_after * power.tip_multiple,
-                  "Largest": scenario.load.units_most, "MeanUnits": mean, "WithinShare": WITHIN,
-                  "ChangesData": [kind.write for kind in scenario.kinds], "Shards": scenario.boxes},
+        "Safety": {
+            "ColdFrom": power.cold_from,
+            "RampTimeS": power.ramp,
+            "StopSendingWithinS": terms.drain_grace,
+            "TipMultiple": power.tip_multiple,
+            "TipAfterS": power.tip_after,
+        },
+        "Extra": {
+            "ColdUnits": power.units * power.cold_from * power.tip_after * power.tip_multiple,
+            "Largest": scenario.load.units_most,
+            "MeanUnits": mean,
+            "WithinShare": WITHIN,
+            "ChangesData": [kind.write for kind in scenario.kinds],
+            "Shards": scenario.boxes,
+        },
         "Siblings": scenario.fronts,
-    }  # fmt: skip
+    }
--- a/cleatyoke/standin/search.py
+++ b/cleatyoke/standin/search.py
@@ -82,8 +82,11 @@
         found: list[tuple[int, str]] = []
         for seed, future in plays.items():
             report = future.result()
-            print(f"{theme}:{seed}: {report.requests} requests, served {report.served:.2f}"
-                  + "".join(f"\n  BROKEN {line}" for line in report.broken[:3]), flush=True)  # fmt: skip
+            print(
+                f"{theme}:{seed}: {report.requests} requests, served {report.served:.2f}"
+                + "".join(f"\n  BROKEN {line}" for line in report.broken[:3]),
+                flush=True,
+            )
             for rule in sorted(rules(report.broken)):
                 broke[rule] += 1
                 found.append((seed, rule))
--- a/cleatyoke/state.py
+++ b/cleatyoke/state.py
@@ -31,13 +31,29 @@
     """A listed node, as this host knows it."""
 
     __slots__ = (
-        "answered", "cell", "cold", "demand", "depth", "done_units", "failures", "hold_until", "id", "latest",
-        "lent", "live", "out", "pace", "queued", "spare", "split", "up_since", "wake_at", "zone",
-    )  # fmt: skip
-
-    def __init__(
-        self, entry: api.NodeEntry, classes: int, depth: float, queued: float, spare: float
-    ) -> None:
+        "answered",
+        "cell",
+        "cold",
+        "demand",
+        "depth",
+        "done_units",
+        "failures",
+        "hold_until",
+        "id",
+        "latest",
+        "lent",
+        "live",
+        "out",
+        "pace",
+        "queued",
+        "spare",
+        "split",
+        "up_since",
+        "wake_at",
+        "zone",
+    )
+
+    def __init__(self, entry: api.NodeEntry, classes: int, depth: float, queued: float, spare: float) -> None:
         self.id, self.cell, self.zone = entry.node, entry.cell, entry.zone
         self.up_since, self.live = 0.0, True
         self.depth, self.answered = depth, 0.0
@@ -98,6 +114,12 @@
         self.due: defaultdict[int, float] = defaultdict(float)  # second of arrival: units still due in full
         self.shares: dict[int, Store] = {}  # node: this volume's part of its spare rate
 
+    def forget(self, oldest: float, gone: list[Node]) -> None:
+        """What was due to requests that came before, and the shares at nodes that are gone."""
+        self.due = defaultdict(float, {at: due for at, due in self.due.items() if at >= oldest})
+        for node in gone:
+            self.shares.pop(node.id, None)
+
 
 class Lending:
     """How many times this host's part of a volume's limit counts where hosts lend one another; else 1."""
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -61,18 +61,26 @@
         flood: list[socket.socket] = []
         with tempfile.TemporaryDirectory() as folder:
             values: dict[str, Any] = {
-                "name": "n0", "listen": "127.0.0.1:0", "seed": "ff", "limits": {"sockets": SOCKETS},
-                "discovery": f"127.0.0.1:{silent.sockets[0].getsockname()[1]}", "known": listing,
+                "name": "n0",
+                "listen": "127.0.0.1:0",
+                "seed": "ff",
+                "limits": {"sockets": SOCKETS},
+                "discovery": f"127.0.0.1:{silent.sockets[0].getsockname()[1]}",
+                "known": listing,
                 "settings": {**FACTS, "Lanes": lanes, "Contracts": plans},
-            }  # fmt: skip
+            }
             path = Path(folder) / "config.json"
             path.write_text(json.dumps(values))
             kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
             daemon = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+                sys.executable,
+                "-m",
+                "cleatyoke",
+                cwd=ROOT,
+                stderr=asyncio.subprocess.PIPE,
                 env={**kept, "RELAY_CONFIG": str(path), "TMPDIR": folder},
                 preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
-            )  # fmt: skip
+            )
             line = await self.line(daemon, b"event='ready'")
             port = int(line.split(b"port=")[1].split(b")")[0])
             for number in range(3 * SOCKETS):
@@ -122,10 +130,12 @@
         box: HttpBox = await HttpBox(script).start()
         known = {"generation": 1, "reset": True, "instances": [entry("SERVING", box.port)]}
         bad = [
-            b"\x16\x03\x01\x02\x00" * 50, b"GET / HTTP/1.1\r\nX: " + bytes(100_000),
-            head("t").replace(b"tile-read", b"no-class"), head("t").replace(b"public", b"no-plan"),
+            b"\x16\x03\x01\x02\x00" * 50,
+            b"GET / HTTP/1.1\r\nX: " + bytes(100_000),
+            head("t").replace(b"tile-read", b"no-class"),
+            head("t").replace(b"public", b"no-plan"),
             head("t").replace(b"\r\n\r\n", b"\r\nContent-Length: 60000000\r\n\r\n").replace(b"GET", b"PUT"),
-        ]  # fmt: skip
+        ]
         with tempfile.TemporaryDirectory() as folder:
             daemon = await self.start(folder, known=known)
             line = await self.line(daemon, b"event='ready'")
@@ -199,11 +209,18 @@
         self.addCleanup(self.box.stop)
         self.folder = self.enterContext(tempfile.TemporaryDirectory())
         path = Path(self.folder) / "config.json"
-        path.write_text(json.dumps({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
-            "settings": FACTS,
-            "known": {"generation": 1, "reset": True, "instances": [entry("SERVING", self.box.port)]},
-        }))  # fmt: skip
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n0",
+                    "listen": "127.0.0.1:0",
+                    "discovery": "127.0.0.1:1",
+                    "seed": "ff",
+                    "settings": FACTS,
+                    "known": {"generation": 1, "reset": True, "instances": [entry("SERVING", self.box.port)]},
+                }
+            )
+        )
         variables = {"RELAY_CONFIG": str(path), "TMPDIR": self.folder}
         self.enterContext(mock.patch.dict(os.environ, variables))
         self.daemon = Daemon(read_config(os.environ), daemon_module.FRONTS)
--- a/tests/test_cold_shares.py
+++ b/tests/test_cold_shares.py
@@ -14,8 +14,17 @@
 
 
 def asks(name: str, units: float, now: float = 100.0, cell: int = 0) -> api.Arrival:
-    return api.Arrival(request=name, class_index=0, plan=0, volume=1, item=None, cell=cell, units=units,
-                       deadline=now + 3.0, hosts=1)  # fmt: skip
+    return api.Arrival(
+        request=name,
+        class_index=0,
+        plan=0,
+        volume=1,
+        item=None,
+        cell=cell,
+        units=units,
+        deadline=now + 3.0,
+        hosts=1,
+    )
 
 
 def cold(rights: Rights, start: float = 100.0) -> ColdShares:
@@ -85,6 +94,7 @@
 
     def host() -> Host:
         return Host(settings(**figures), [entry(BOX, 0, up_since=100.0)], now=100.0)  # type: ignore[arg-type]
+
     whole, more, none = sent_in(host(), 4.0), sent_in(host(), 4.0, 3.0), sent_in(host(), 4.0, 0.0)
     assert 38 <= whole <= 46  # 10 a second, as it warms a little
     assert 1.6 * whole <= more <= 2.1 * whole  # for half of the time three times as much
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -24,9 +24,17 @@
     """Hosts whose volumes come unevenly through one to three of them, and the node that all of them use."""
 
     def __init__(
-        self, hosts: int, seed: int, *, stated: int | None = None, known: bool = True, surge: float = 1.8,
-        restarts: float = 0.0, turned_away: float = 0.0, load: float = 0.6,
-    ) -> None:  # fmt: skip
+        self,
+        hosts: int,
+        seed: int,
+        *,
+        stated: int | None = None,
+        known: bool = True,
+        surge: float = 1.8,
+        restarts: float = 0.0,
+        turned_away: float = 0.0,
+        load: float = 0.6,
+    ) -> None:
         """``stated``: how many hosts the settings name. ``known``: hosts served the node before it started
         anew; else they start with it. ``restarts``: of each host while the node is cold. ``turned_away``:
         part of the cold node's answers that say it never ran."""
@@ -35,10 +43,16 @@
         rate = load * POWER / VOLUMES
         rule = {"cold_from": COLD, "ramp": RAMP, "tip_multiple": MULTIPLE, "tip_after": WINDOW}
         self.settings = settings(
-            [class_spec(aim=0.2, late_share=0.1)], [plan_spec(rate=rate, reserve=0.8 * rate)], rule,
-            hosts=hosts if stated is None else stated, cold_units=0.9 * MULTIPLE * COLD * POWER * WINDOW,
-            mean=MEAN, largest=8.0, max_attempts=4, within_share=0.35,
-        )  # fmt: skip
+            [class_spec(aim=0.2, late_share=0.1)],
+            [plan_spec(rate=rate, reserve=0.8 * rate)],
+            rule,
+            hosts=hosts if stated is None else stated,
+            cold_units=0.9 * MULTIPLE * COLD * POWER * WINDOW,
+            mean=MEAN,
+            largest=8.0,
+            max_attempts=4,
+            within_share=0.35,
+        )
         every = range(hosts)
         self.routes = [self.rng.sample(every, min(hosts, self.rng.randint(1, 3))) for _ in range(VOLUMES)]
         self.leads = [[self.rng.random() ** 3 + 0.02 for _ in route] for route in self.routes]
@@ -97,8 +111,9 @@
             volume, name = self.rng.randrange(VOLUMES), str(len(self.units))
             host = self.rng.choices(self.routes[volume], self.leads[volume])[0]
             self.units[name] = self.rng.choice(SIZES)
-            asked = api.Arrival(name, 0, 0, volume, None, 1, self.units[name], self.now + 1.5,
-                                len(self.routes[volume]))  # fmt: skip
+            asked = api.Arrival(
+                name, 0, 0, volume, None, 1, self.units[name], self.now + 1.5, len(self.routes[volume])
+            )
             due.setdefault(host, []).append(asked)
         for host, wake in enumerate(self.wakes):
             if wake <= self.now:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -60,12 +60,16 @@
             memory, doubts = read(spoilt, FRONT, "a")
             assert doubts == [Doubt(f"a: {row.kind}", "sum")] and memory.merge(HELD) == HELD
     for odd, why in (
-        ((), "unreadable"), ((None,) * 5, "no data"), (("holds", 1, FRONT, "text", 0), "no data"),
+        ((), "unreadable"),
+        ((None,) * 5, "no data"),
+        (("holds", 1, FRONT, "text", 0), "no data"),
         (sealed("holds", FRONT, b"x", FORM + 1), "newer"),
         (sealed("holds", "theirs/n1", b"x"), "another front"),
-        (sealed("new", FRONT, b"x"), "unknown"), (sealed("boot", FRONT, b"\xc1"), "unreadable"),
-        (sealed("holds", FRONT, b"\xff" * 99), "unreadable"), (("holds", "x", FRONT, b"x", 1), "sum"),
-    ):  # fmt: skip
+        (sealed("new", FRONT, b"x"), "unknown"),
+        (sealed("boot", FRONT, b"\xc1"), "unreadable"),
+        (sealed("holds", FRONT, b"\xff" * 99), "unreadable"),
+        (("holds", "x", FRONT, b"x", 1), "sum"),
+    ):
         memory, [doubt] = read([odd, *rows], FRONT, "a")
         assert memory == HELD and why in doubt.why
 
@@ -87,11 +91,12 @@
 
     newer = f"PRAGMA user_version = {FORM + 1}"
     out: dict[str, Callable[[], object]] = {
-        "empty": lambda: path.write_bytes(b""), "gone": path.unlink,
+        "empty": lambda: path.write_bytes(b""),
+        "gone": path.unlink,
         "text": lambda: path.write_text("not a file\n" * 99),
         "newer": lambda: sqlite3.connect(path).execute(newer).connection.close(),
         "foreign": lambda: path.write_bytes(whole[:68] + b"abcd" + whole[72:]),
-    }  # fmt: skip
+    }
     for cut in (*range(0, len(whole), 4096), *(dice.randrange(len(whole)) for _ in range(20))):
         out[f"cut {cut}"] = lambda cut=cut: path.write_bytes(whole[:cut])  # type: ignore[misc]
     for place in (dice.randrange(len(whole)) for _ in range(60)):
@@ -281,7 +286,8 @@
     from cleatyoke.config import BadConfig, read_fronts
 
     path = tmp_path / "fronts.toml"
-    path.write_text('[fleet]\nenabled = true\ndeployment = "d"\nlisten = "127.0.0.1:7"\nseeds = []\n'
-                    f"durable = {folder}\n")  # fmt: skip
+    path.write_text(
+        f'[fleet]\nenabled = true\ndeployment = "d"\nlisten = "127.0.0.1:7"\nseeds = []\ndurable = {folder}\n'
+    )
     with pytest.raises(BadConfig, match=r"^fronts.toml: fleet.durable:"):
         read_fronts(path, {}, {})
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -132,7 +132,6 @@
         streams[1].close()
         await self.until(lambda: not self.front.open())
 
-
     async def test_a_peer_that_does_not_end_its_connection_does_not_hold_up_the_exit(self) -> None:
         _, streams = await self.meet(at_once, self.head("t"))
         self.front.closing = True
--- a/tests/test_exits.py
+++ b/tests/test_exits.py
@@ -73,8 +73,11 @@
         early.serves()
         self.assertEqual(early.step(51.0, 0, 0), [Order.CLOSE_FILES])
 
-    @given(st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(0, 2), st.integers(0, 1)), max_size=40),
-           st.floats(0.7, 3.7), st.floats(0.01, 3.0))  # fmt: skip
+    @given(
+        st.lists(st.tuples(st.floats(0.0, 1.0), st.integers(0, 2), st.integers(0, 1)), max_size=40),
+        st.floats(0.7, 3.7),
+        st.floats(0.01, 3.0),
+    )
     def test_whatever_comes_each_order_is_given_once_in_turn_and_all_by_the_last_moment(
         self, moments: list[tuple[float, int, int]], notice: float, aim: float
     ) -> None:
@@ -92,8 +95,10 @@
             orders += given_now
             if life.stage is not Stage.CLOSING:
                 self.assertLess(life.next_at(), float("inf"))  # it never waits for what may not come
-        self.assertEqual([one for one in orders if one is not Order.ABANDON],
-                         [Order.CLOSE_FILES, Order.STOP_ACCEPTING, Order.RELEASE])  # fmt: skip
+        self.assertEqual(
+            [one for one in orders if one is not Order.ABANDON],
+            [Order.CLOSE_FILES, Order.STOP_ACCEPTING, Order.RELEASE],
+        )
 
 
 class Hurried(unittest.IsolatedAsyncioTestCase):
@@ -122,7 +127,6 @@
         self.assertEqual(told, {"read": Failed, "write": Failed, "held": Refused})
         self.assertEqual(sent, ["read", "write"])  # nothing is sent for which no answer could come
 
-
     async def test_an_attempt_called_off_as_its_time_is_up_costs_no_other_call_its_word(self) -> None:
         """Both are due at once where the process stood still for a while."""
         core = Core(host_settings())
@@ -236,8 +240,11 @@
     async def test_an_unforeseen_fault_at_the_start_is_status_2_with_one_line(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "config.json"
-            path.write_text(json.dumps({"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-                                        "settings": FACTS}))  # fmt: skip
+            path.write_text(
+                json.dumps(
+                    {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": FACTS}
+                )
+            )
             config = read_config({"RELAY_CONFIG": str(path), "TMPDIR": folder})
             with (
                 mock.patch.object(daemon.Front, "listen", side_effect=RuntimeError("odd")),
@@ -256,7 +263,10 @@
             with tempfile.TemporaryDirectory() as folder:
                 path = Path(folder) / "config.json"
                 values = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1"}
-                path.write_text("[" * 100_000 if change is None
-                                else json.dumps({**values, "settings": {**FACTS, **change}}))  # fmt: skip
+                path.write_text(
+                    "[" * 100_000
+                    if change is None
+                    else json.dumps({**values, "settings": {**FACTS, **change}})
+                )
                 with self.assertRaisesRegex(BadConfig, word):
                     read_config({"RELAY_CONFIG": str(path)})
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -71,7 +71,7 @@
 
 def rumour(
     name: str = "a", boot: int = 1, state: State = State.ALIVE, count: int = 0, by: str = ""
-) -> Rumour:  # fmt: skip
+) -> Rumour:
     return Rumour(Id(name, boot), f"{name}:1", state, count, True, by)
 
 
@@ -81,10 +81,14 @@
     assert len(wire.decode_datagram("ours", data).rumours) == used
     alien = wire.sealed(wire.encoder.encode(wire.Datagram("ours", 9, rumour(), Gossip(), [])))
     for deployment, bad, reason in (
-        ("theirs", data, "foreign"), ("ours", alien, "version"), ("ours", data[:-1], "corrupt"),
-        ("ours", b"", "corrupt"), ("ours", data * 2, "too long"),
-        ("ours", wire.sealed(b"\x93"), "unreadable"), ("ours", wire.sealed(b"\x91" * 900), "unreadable"),
-    ):  # fmt: skip
+        ("theirs", data, "foreign"),
+        ("ours", alien, "version"),
+        ("ours", data[:-1], "corrupt"),
+        ("ours", b"", "corrupt"),
+        ("ours", data * 2, "too long"),
+        ("ours", wire.sealed(b"\x93"), "unreadable"),
+        ("ours", wire.sealed(b"\x91" * 900), "unreadable"),
+    ):
         with pytest.raises(wire.Refused, match=f"^{reason}$"):
             wire.decode_datagram(deployment, bad)
     with pytest.raises(wire.Refused, match="too long"):
@@ -129,9 +133,12 @@
 
 def test_silence_frees_nothing_and_only_its_word_or_its_start_anew_does() -> None:
     lives = [
-        Known(rumour("b", state=State.DEAD), 0.0), Known(rumour("c", state=State.LEFT), 9.9),
-        Known(rumour("d", 1, State.DEAD), 0.0), Known(rumour("d", 2), 9.9), Known(rumour("e"), 5.0),
-    ]  # fmt: skip
+        Known(rumour("b", state=State.DEAD), 0.0),
+        Known(rumour("c", state=State.LEFT), 9.9),
+        Known(rumour("d", 1, State.DEAD), 0.0),
+        Known(rumour("d", 2), 9.9),
+        Known(rumour("e"), 5.0),
+    ]
     told = conclude(rumour(), lives, 2, 10.0)
     assert told.certainly_stopped == {Id("c", 1), Id("d", 1)}
     assert told.certainly_up == {Id("a", 1), Id("d", 2)}
@@ -303,9 +310,7 @@
         one.now = at
         one.believe(rumour("b", 1, State(state), count, "x"))
         told += [action for action in one.actions if isinstance(action, Told)]
-    assert [each.change for each in told] == [
-        Change.JOINED, Change.SUSPECTED, Change.RETURNED, Change.LEFT
-    ]  # fmt: skip
+    assert [each.change for each in told] == [Change.JOINED, Change.SUSPECTED, Change.RETURNED, Change.LEFT]
 
 
 def test_views_that_differ_without_news_are_exchanged_and_others_are_not() -> None:
@@ -344,8 +349,9 @@
 
 
 fronts = st.lists(st.integers(0, SIZE - 1), min_size=1, max_size=4, unique=True)
-steps = st.lists(st.tuples(st.floats(0, 25).map(lambda at: round(at, 2)), st.sampled_from(FAULTS), fronts),
-                 max_size=8)  # fmt: skip
+steps = st.lists(
+    st.tuples(st.floats(0, 25).map(lambda at: round(at, 2)), st.sampled_from(FAULTS), fronts), max_size=8
+)
 
 
 @settings(deadline=None, derandomize=True, max_examples=15)
@@ -359,8 +365,12 @@
 
 def test_a_script_that_breaks_a_rule_is_made_shorter() -> None:
     steps = [
-        [1.0, "kill", [3]], [2.0, "leave", [1]], [3.0, "stop", [2]], [5.0, "start", [1]], [6.0, "heal", []]
-    ]  # fmt: skip
+        [1.0, "kill", [3]],
+        [2.0, "leave", [1]],
+        [3.0, "stop", [2]],
+        [5.0, "start", [1]],
+        [6.0, "heal", []],
+    ]
     script = {"size": 4, "seed": 1, "loss": 0.0, "steps": steps}
     assert play(script) == []
     assert "one view" in {broken[:8] for broken in play(script, ForgetsBoot)}
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -45,12 +45,13 @@
 
     def test_each_rule_of_the_fleet_is_broken_once(self) -> None:
         for rule, views in (
-            ("", [self.told(0, 1), self.told(1, 0)]), ("view", [self.told(0, 1), None]),
+            ("", [self.told(0, 1), self.told(1, 0)]),
+            ("view", [self.told(0, 1), None]),
             ("view", [self.told(0, 1), self.told(1, 0, digest="e")]),
             ("view", [self.told(0, 1), self.told(1)]),
             ("count", [self.told(0, 1), self.told(1, 0, count=1)]),
             ("stopped", [self.told(0, 1), self.told(1, 0, sure="certainly-stopped")]),
-        ):  # fmt: skip
+        ):
             judge = ViewJudge(ends=[(1.0, "kill")])
             judge.seen(2.0, dict(enumerate(views)))
             with self.subTest(rule):
@@ -89,7 +90,8 @@
         }
         for name, boxes in (("fleet-limits", ()), ("fleet-cold", ("restart",))):
             lent = {
-                **values[name], "fleet": {**values[name]["fleet"], "seconds": 14},
+                **values[name],
+                "fleet": {**values[name]["fleet"], "seconds": 14},
                 "trouble": [one for one in values[name]["trouble"] if one["kind"] in boxes],
             }
             values |= {f"{name} lent": lent, f"{name} fixed": {**lent, "view": {"enabled": True}}}
@@ -133,17 +135,30 @@
         """One that takes silence for an end, and one whose lives all have one boot number and never rise."""
         fleet = {"fronts": 5, "boxes": 2, "seconds": 9.0}
         base = {"fleet": fleet, "load": {"rate": 10}, "view": {"enabled": True, "settles_s": 4.0}}
-        pause = [{"kind": "pause", "at": 1, "of": [3], "lasts_s": 6.0},
-                 {"kind": "links", "at": 2, "of": [0, 1], "to": [2, 4], "cut": True,
-                  "lasts_s": 6.0}]  # fmt: skip
+        pause = [
+            {"kind": "pause", "at": 1, "of": [3], "lasts_s": 6.0},
+            {"kind": "links", "at": 2, "of": [0, 1], "to": [2, 4], "cut": True, "lasts_s": 6.0},
+        ]
         roll = [{"kind": "roll", "at": 1, "of": [3]}]
         wrong = {
-            "stopped": (pause, [("fleet/conclude.py", "if rumour.state is State.LEFT or anew:",
-                                 "if rumour.state is not State.ALIVE:")]),
-            "view": (roll, [("net/fleet.py", "peers.boot or boot or int(time.time() * 1000)", "1"),
-                            ("fleet/members.py", "self.id, self.count = Id(self.id.name, boot + 1), 0",
-                             "pass")]),
-        }  # fmt: skip
+            "stopped": (
+                pause,
+                [
+                    (
+                        "fleet/conclude.py",
+                        "if rumour.state is State.LEFT or anew:",
+                        "if rumour.state is not State.ALIVE:",
+                    )
+                ],
+            ),
+            "view": (
+                roll,
+                [
+                    ("net/fleet.py", "peers.boot or boot or int(time.time() * 1000)", "1"),
+                    ("fleet/members.py", "self.id, self.count = Id(self.id.name, boot + 1), 0", "pass"),
+                ],
+            ),
+        }
         with tempfile.TemporaryDirectory() as folder, pool(2) as workers:
             plays = {}
             for rule, (troubles, edits) in wrong.items():
@@ -269,8 +284,10 @@
 
 class SettingsCase(unittest.TestCase):
     def test_nothing_of_it_is_imported_while_it_is_off_and_the_operators_are_told_so(self) -> None:
-        look = ("import sys, cleatyoke.__main__; sys.exit(any(name.startswith(('cleatyoke.fleet', 'msgspec', "
-                "'cleatyoke.net.fleet', 'cleatyoke.emulate')) for name in sys.modules))")  # fmt: skip
+        look = (
+            "import sys, cleatyoke.__main__; sys.exit(any(name.startswith(('cleatyoke.fleet', 'msgspec', "
+            "'cleatyoke.net.fleet', 'cleatyoke.emulate')) for name in sys.modules))"
+        )
         self.assertEqual(subprocess.run([sys.executable, "-c", look], cwd=ROOT).returncode, 0)
         off = Commands(lambda: True, list, bool, bool, lambda: None, lambda: None)
         self.assertEqual(answer(off, "show-fleet"), ["FAILURE no view of the fleet is kept"])
@@ -280,10 +297,20 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "fronts.toml"
             for key, value in (
-                ("deployment", '""'), ("deployment", "7"), ("listen", '"127.0.0.1:0"'), ("seeds", '["x"]'),
-                ("seeds", "[1]"), ("period_s", "0"), ("period_s", "9999"), ("gossip_s", "0.5"),
-                ("answer_s", "2"), ("boot", "-1"), ("advertise", '"here"'), ("hosts", "3"), ("", ""),
-            ):  # fmt: skip
+                ("deployment", '""'),
+                ("deployment", "7"),
+                ("listen", '"127.0.0.1:0"'),
+                ("seeds", '["x"]'),
+                ("seeds", "[1]"),
+                ("period_s", "0"),
+                ("period_s", "9999"),
+                ("gossip_s", "0.5"),
+                ("answer_s", "2"),
+                ("boot", "-1"),
+                ("advertise", '"here"'),
+                ("hosts", "3"),
+                ("", ""),
+            ):
                 keys = {**good, key: value} if key else good
                 path.write_text("[fleet]\n" + "\n".join(f"{name} = {text}" for name, text in keys.items()))
                 with self.subTest(key=key, value=value):
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -118,8 +118,16 @@
         host.end(f"r{number}", Outcome.SERVED, spent=0.12 if heavy else 0.04)
     node = host.policy.nodes[1]
     assert node.queued < 0.01
-    light, heavy_one = (Request(host.arrival("x", class_index=index), host.policy.settings.classes[index], 1,
-                                host.policy.volumes[1], host.now) for index in (0, 1))  # fmt: skip
+    light, heavy_one = (
+        Request(
+            host.arrival("x", class_index=index),
+            host.policy.settings.classes[index],
+            1,
+            host.policy.volumes[1],
+            host.now,
+        )
+        for index in (0, 1)
+    )
     assert host.policy.answer_time(light, node) == pytest.approx(0.04, abs=0.01)
     assert host.policy.answer_time(heavy_one, node) == pytest.approx(0.12, abs=0.02)
 
@@ -472,10 +480,13 @@
     plan = plan_spec(reserve=40.0 / 20, rate=2.5)
     figures = {"ramp": 14.0, "tip_after": 2.0, "cold_from": 0.16}
     hosts = [
-        Host(settings(None, [plan], figures, hosts=40, seed=seed, cold_units=16.0, mean=2.0),
-             [entry(1, 1, up_since=start)], now=start)
+        Host(
+            settings(None, [plan], figures, hosts=40, seed=seed, cold_units=16.0, mean=2.0),
+            [entry(1, 1, up_since=start)],
+            now=start,
+        )
         for seed in range(10)
-    ]  # fmt: skip
+    ]
     asks = sorted(
         (start + dice.random() * 12.0, dice.randrange(20), number) for number in range(240)
     )  # of 20 volumes, two units each: 40 a second
--- a/tests/test_http_front.py
+++ b/tests/test_http_front.py
@@ -183,12 +183,19 @@
     async def test_bad_requests_are_answered_by_name(self) -> None:
         await self.begin(lambda trace: asyncio.sleep(60))
         for name, value in (
-            ("X_Qos", "tea"), ("X_Plan", "gold"), ("X_IO", "volume=zz"), ("X_Expires_In_Ms", "-1"),
-            ("X_Expires_In_Ms", "1_500"), ("X_Trace_Id", ""), ("X_Trace_Id", "t" * 200),
-            ("X_IO", HEADERS["X-IO"].replace("units=2", "units=99")), ("X_Qos", "record-write"),
-            ("X_IO", HEADERS["X-IO"].replace("shard=0", "shard=9")), ("X_IO", HEADERS["X-IO"] + ",units=3"),
+            ("X_Qos", "tea"),
+            ("X_Plan", "gold"),
+            ("X_IO", "volume=zz"),
+            ("X_Expires_In_Ms", "-1"),
+            ("X_Expires_In_Ms", "1_500"),
+            ("X_Trace_Id", ""),
+            ("X_Trace_Id", "t" * 200),
+            ("X_IO", HEADERS["X-IO"].replace("units=2", "units=99")),
+            ("X_Qos", "record-write"),
+            ("X_IO", HEADERS["X-IO"].replace("shard=0", "shard=9")),
+            ("X_IO", HEADERS["X-IO"] + ",units=3"),
             ("X_IO", HEADERS["X-IO"].replace("=2", "=0x2")),
-        ):  # fmt: skip
+        ):
             status, text = await self.ask("t", **{name: value})
             self.assertEqual(status, 400)
             self.assertIn(name.replace("_", "-"), text.decode())
@@ -302,8 +309,9 @@
             self.head("t", "Content-Length: 4", method="PUT") + b"scan" + hidden,
             self.head("t", "Content-Length: 4", "Content-Length: 0", method="PUT") + b"scan",
             self.head("t", "Content-Length: 4", "Transfer-Encoding: chunked", method="PUT")
-            + b"0\r\n\r\n" + hidden,
-        ):  # fmt: skip
+            + b"0\r\n\r\n"
+            + hidden,
+        ):
             reader, writer = await self.raw(case)
             self.assertEqual((await reader.read())[8:13], b" 400 ", case[:200])
             writer.close()
@@ -412,15 +420,20 @@
     async def test_a_spoilt_answer_is_a_reset_that_may_have_run_and_ends_its_connection(self) -> None:
         good = answer()
         spoilt = [
-            b"\x00\xffnoise", b"HTTP/1.1 tea\r\n\r\n", good.replace(b"/1.1", b"/2.0"),
-            b"HTTP/1.1 200 X\r\n" + b"X: tea\r\n" * 9000, answer(200, b"", "X: tea")[:-2],
-            answer(200, b"", "Content-Length: 4"), b"HTTP/1.1 200 X\r\n\r\ntile", good[:-1],
+            b"\x00\xffnoise",
+            b"HTTP/1.1 tea\r\n\r\n",
+            good.replace(b"/1.1", b"/2.0"),
+            b"HTTP/1.1 200 X\r\n" + b"X: tea\r\n" * 9000,
+            answer(200, b"", "X: tea")[:-2],
+            answer(200, b"", "Content-Length: 4"),
+            b"HTTP/1.1 200 X\r\n\r\ntile",
+            good[:-1],
             *(good.replace(b": 4", one) for one in (b": -4", b": +4", b": 3000000000", b" : 4")),
             b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntile\r\nzz\r\n",
             b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\ntile",
             b"HTTP/1.1 101 X\r\nUpgrade: websocket\r\nConnection: upgrade\r\n\r\n" + good,
             b"HTTP/1.1 100 X\r\n\r\n" * 9 + good,
-        ]  # fmt: skip
+        ]
 
         async def script(trace: str) -> bytes:
             return spoilt[int(trace)]
@@ -493,8 +506,14 @@
 
 
 def entry(state: str, port: int = 9) -> dict[str, Any]:
-    return {"instanceId": "s-a", "hostPort": f"127.0.0.1:{port}", "zone": "basement", "cell": 0,
-            "lifecycle": state, "startedAtMs": 0}  # fmt: skip
+    return {
+        "instanceId": "s-a",
+        "hostPort": f"127.0.0.1:{port}",
+        "zone": "basement",
+        "cell": 0,
+        "lifecycle": state,
+        "startedAtMs": 0,
+    }
 
 
 class GrowthCase(unittest.TestCase):
@@ -521,9 +540,14 @@
 class LoadReports(unittest.TestCase):
     def test_the_part_in_use_is_read_and_what_is_none_is_passed_over(self) -> None:
         for text, busy in (
-            ("TEXT inflight=7, queue=2, util=0.61", 0.61), ("TEXT waiting=3, cpu=1.25", 1.0), ("", None),
-            ("TEXT cpu=7e9", None), ("TEXT util=-1", None), ("TEXT util=0.1.2", None), ("\x01 queue=", None),
-        ):  # fmt: skip
+            ("TEXT inflight=7, queue=2, util=0.61", 0.61),
+            ("TEXT waiting=3, cpu=1.25", 1.0),
+            ("", None),
+            ("TEXT cpu=7e9", None),
+            ("TEXT util=-1", None),
+            ("TEXT util=0.1.2", None),
+            ("\x01 queue=", None),
+        ):
             self.assertEqual(decode_busy({"Endpoint-Load-Metrics": text}), busy, text)
         self.assertIsNone(decode_busy({}))
 
@@ -546,7 +570,6 @@
         self.assertEqual(len({one.entries[0].node for one in news if isinstance(one, api.NodeList)}), 1)
         self.assertFalse(directory.serves(1))
 
-
     async def test_a_move_takes_the_new_agent_s_whole_list_and_keeps_the_old_watch_until_then(self) -> None:
         old_list = {"generation": 70, "reset": True, "instances": [entry("SERVING")]}
         new_list = {"generation": 7, "reset": True, "instances": [entry("SERVING", 10)]}
@@ -578,7 +601,6 @@
             peer.stop()
         silent.close()
 
-
     async def test_what_an_own_agent_gets_at_discovery_s_return_is_heard_at_once(self) -> None:
         """An agent that falls silent and whose silent watches never speak again, as the standing test has it.
         While each waited its turn among 200, drains at the return were heard up to 15 s late."""
@@ -653,14 +675,24 @@
         self, folder: str, variables: dict[str, str] | None = None, **changes: Any
     ) -> asyncio.subprocess.Process:
         path = Path(folder) / "config.json"
-        values = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ff",
-                  "settings": FACTS, **changes}  # fmt: skip
+        values = {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:1",
+            "seed": "ff",
+            "settings": FACTS,
+            **changes,
+        }
         path.write_text(json.dumps(values))
         kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
         return await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            sys.executable,
+            "-m",
+            "cleatyoke",
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
             env={**kept, **(variables or {}), "RELAY_CONFIG": str(path)},
-        )  # fmt: skip
+        )
 
     async def line(self, daemon: asyncio.subprocess.Process, word: bytes) -> bytes:
         assert daemon.stderr
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -41,9 +41,13 @@
     async def test_a_keyed_request_without_a_good_key_is_an_error_before_any_attempt(self) -> None:
         await self.begin_keyed()
         bad = {
-            "missing": [], "empty": [b""], "long": [b"k" * 257], "twice": [b"a", b"a"],
-            "blank": [b"a b"], "foreign": [b"caf\xc3\xa9"],
-        }  # fmt: skip
+            "missing": [],
+            "empty": [b""],
+            "long": [b"k" * 257],
+            "twice": [b"a", b"a"],
+            "blank": [b"a b"],
+            "foreign": [b"caf\xc3\xa9"],
+        }
         for name, keys in bad.items():
             line = b"".join(b"Idempotency-Key: %s\r\n" % key for key in keys)
             head = self.head(name, "Content-Length: 4", method="PUT")[:-2]
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -79,8 +79,13 @@
 
 def test_absent_and_null_settings_mean_no_such_figure() -> None:
     lane = {"AimS": 0.5, "Worth": 1.0, "Repeat": "repeatable", "Later": 3}
-    facts = {"Lanes": [lane], "Contracts": [{"WorthFactor": 1.0, "Proportion": 1.0, "Limit": None}],
-             "Safety": None, "PolicyLimits": {"SendCap": 3, "Cancel": None}, "New": {}}
+    facts = {
+        "Lanes": [lane],
+        "Contracts": [{"WorthFactor": 1.0, "Proportion": 1.0, "Limit": None}],
+        "Safety": None,
+        "PolicyLimits": {"SendCap": 3, "Cancel": None},
+        "New": {},
+    }
     host = Host(read_settings(facts, 1), [entry(1, 1, up_since=99.0)])
     host.ask("a")
     host.run_until(102.0)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -84,8 +84,13 @@
         for status in (200, 200, 503, 429, 502, 400):
             figures.answered("tile-read", status)
         lines = figures.lines(["tile-read", "record-write"], 3, 1)
-        for line in ("front.success.tile-read=2", "front.busy.tile-read=2", "front.failure.tile-read=2",
-                     "front.success.record-write=0", "front.hosts_down=1"):  # fmt: skip
+        for line in (
+            "front.success.tile-read=2",
+            "front.busy.tile-read=2",
+            "front.failure.tile-read=2",
+            "front.success.record-write=0",
+            "front.hosts_down=1",
+        ):
             self.assertIn(line, lines)
 
 
@@ -204,8 +209,10 @@
         for line in (
             'cleatyoke_requests_total{class="tile-read",outcome="success"} 1.0',
             'cleatyoke_requests_total{class="tile-read",outcome="failure"} 1.0',
-            "cleatyoke_backend_calls_total 1.0", "cleatyoke_inflight 0.0", "cleatyoke_hosts_down 1.0",
-        ):  # fmt: skip
+            "cleatyoke_backend_calls_total 1.0",
+            "cleatyoke_inflight 0.0",
+            "cleatyoke_hosts_down 1.0",
+        ):
             self.assertIn(line + "\n", text)
 
     def test_the_exporter_is_not_imported_where_it_is_off(self) -> None:
--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -88,9 +88,14 @@
 
     def test_a_report_that_cannot_be_read_counts_as_none(self) -> None:
         for body, told in (
-            (b"TEXT util=0.61", 0.61), (b"cpu=2, queue=1", 1.0), (b"", None), (b"util=x", None),
-            (b"util=1.2.3", None), (b"\xff\x00util", None), (b" " * 2000 + b"util=0.5", None),
-        ):  # fmt: skip
+            (b"TEXT util=0.61", 0.61),
+            (b"cpu=2, queue=1", 1.0),
+            (b"", None),
+            (b"util=x", None),
+            (b"util=1.2.3", None),
+            (b"\xff\x00util", None),
+            (b" " * 2000 + b"util=0.5", None),
+        ):
             self.assertEqual(decode_probe(Answer(200, {}, body, True)), told, body)
         self.assertIsNone(decode_probe(Answer(404, {}, b"util=0.5", True)))
 
@@ -102,8 +107,13 @@
 
     def test_they_are_on_only_where_load_is_told_by_probes_alone(self) -> None:
         self.assertTrue(read_settings(self.facts("probe"), 1).probes)
-        for off in (self.facts("answers"), self.facts("none"), self.facts("probe", False),
-                    self.facts("probe", fields=("queue",)), FACTS):  # fmt: skip
+        for off in (
+            self.facts("answers"),
+            self.facts("none"),
+            self.facts("probe", False),
+            self.facts("probe", fields=("queue",)),
+            FACTS,
+        ):
             self.assertFalse(read_settings(off, 1).probes)
 
     def test_nothing_of_them_is_imported_where_they_are_off(self) -> None:
@@ -121,8 +131,11 @@
             return list(gateway.reply(line)["steps"])
 
         cold = {**SHELF, "Shelf": 12, "Pack": 1, "UpSinceS": 5.0}
-        batch(5.0, {"type": "CATALOG", "Slot": 0, "Elements": [SHELF, cold]},
-              {"type": "BORN", "RngSeed": 1, "Facts": self.facts("probe")})  # fmt: skip
+        batch(
+            5.0,
+            {"type": "CATALOG", "Slot": 0, "Elements": [SHELF, cold]},
+            {"type": "BORN", "RngSeed": 1, "Facts": self.facts("probe")},
+        )
         steps = batch(5.1, {"type": "ROSTER_CHANGE", "Slot": 0, "Revision": 1, "Mode": "warm_copy"})
         asked = [one for one in steps if one["type"] == "TOUCH"]
         for _ in range(3):
@@ -133,8 +146,10 @@
             asked = [one for one in steps if one["type"] == "TOUCH"]
         self.assertEqual(asked, [{"type": "TOUCH", "Head": 0, "Shelf": 11}])
         self.assertEqual(gateway.policies[0].busy, 1.0)
-        batch(7.5, {"type": "HEALTH", "Shelf": 11, "Disposition": "completed", "SpentS": 0.01,
-                    "HealthInfo": [0.4]})  # fmt: skip
+        batch(
+            7.5,
+            {"type": "HEALTH", "Shelf": 11, "Disposition": "completed", "SpentS": 0.01, "HealthInfo": [0.4]},
+        )
         self.assertAlmostEqual(gateway.policies[0].busy, 0.4)
 
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -20,9 +20,14 @@
 LIVES = [Id(name, boot) for name in "abc" for boot in (1, 2)]
 Step = tuple[str, int, int, str]
 STEPS = st.lists(
-    st.tuples(st.sampled_from(("hold", "release", "merge", "say", "raise")), st.integers(0, 2),
-              st.integers(0, 2), st.sampled_from(("s-1", "s-2"))), max_size=25,
-)  # fmt: skip
+    st.tuples(
+        st.sampled_from(("hold", "release", "merge", "say", "raise")),
+        st.integers(0, 2),
+        st.integers(0, 2),
+        st.sampled_from(("s-1", "s-2")),
+    ),
+    max_size=25,
+)
 
 
 class ReleaseWins(Holds, frozen=True):
@@ -74,8 +79,14 @@
 
 
 def test_a_hold_wins_over_a_release_at_the_same_time_and_a_set_without_dots_is_caught() -> None:
-    split: list[Step] = [("hold", 0, 0, "s-1"), ("merge", 1, 0, ""), ("release", 1, 0, "s-1"),
-                         ("hold", 0, 0, "s-1"), ("merge", 0, 1, ""), ("merge", 1, 0, "")]  # fmt: skip
+    split: list[Step] = [
+        ("hold", 0, 0, "s-1"),
+        ("merge", 1, 0, ""),
+        ("release", 1, 0, "s-1"),
+        ("hold", 0, 0, "s-1"),
+        ("merge", 0, 1, ""),
+        ("merge", 1, 0, ""),
+    ]
     holds, _, _, right = played(split, Holds())
     assert right and [copy.boxes() for copy in holds[:2]] == [{"s-1"}, {"s-1"}]
     assert not played(split, ReleaseWins())[3]
@@ -103,14 +114,19 @@
     assert one.forget([], [one]) == one
 
 
-@pytest.mark.parametrize(("kind", "value", "why"), [
-    ("rights", {}, "unknown kind"), ("holds", {"clock": {}, "more": 1}, "unreadable"),
-    ("holds", [], "unreadable"),
-    ("holds", {"held": {"s-1": [[["a", 1], 3]]}}, "holds without their numbers"),
-    ("holds", {"held": {"s-1": []}}, "holds without their numbers"),
-    ("latest", {"words": {}, "x": {}}, "unreadable"), ("highest", {"numbers": {"s": -1}}, "unreadable"),
-    ("highest", {"numbers": {str(number): 1 for number in range(5000)}}, "unreadable"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    ("kind", "value", "why"),
+    [
+        ("rights", {}, "unknown kind"),
+        ("holds", {"clock": {}, "more": 1}, "unreadable"),
+        ("holds", [], "unreadable"),
+        ("holds", {"held": {"s-1": [[["a", 1], 3]]}}, "holds without their numbers"),
+        ("holds", {"held": {"s-1": []}}, "holds without their numbers"),
+        ("latest", {"words": {}, "x": {}}, "unreadable"),
+        ("highest", {"numbers": {"s": -1}}, "unreadable"),
+        ("highest", {"numbers": {str(number): 1 for number in range(5000)}}, "unreadable"),
+    ],
+)
 def test_a_copy_that_cannot_be_is_refused_whole(kind: str, value: object, why: str) -> None:
     with pytest.raises(ValueError, match=f"^{why}$"):
         replicas.decode(kind, msgspec.msgpack.encode(value))
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -78,8 +78,12 @@
 
 class FileCase(unittest.TestCase):
     def setUp(self) -> None:
-        self.values: dict[str, Any] = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-                                       "settings": FACTS}  # fmt: skip
+        self.values: dict[str, Any] = {
+            "name": "n",
+            "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:1",
+            "settings": FACTS,
+        }
 
     def read(self, values: Any) -> Any:
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -48,8 +48,9 @@
 def play(seed: int, make: type[Rights] = Rights, seconds: float = 40.0) -> Market:
     """Random needs, restarts, stops, loss, doubles and long delays."""
     dice = random.Random(f"play:{seed}")
-    network = Network(seed, delay=0.001, jitter=dice.choice((0.01, 0.5, 3.0)), loss=dice.choice((0.0, 0.3)),
-                      doubles=0.05)  # fmt: skip
+    network = Network(
+        seed, delay=0.001, jitter=dice.choice((0.01, 0.5, 3.0)), loss=dice.choice((0.0, 0.3)), doubles=0.05
+    )
     market = Market(6, seed, network, make=make)
     while market.now < seconds:
         front = dice.randrange(market.size)
@@ -155,6 +156,7 @@
 
 # An exhaustive search of our own states
 
+
 def steps(lease: float) -> Terms:
     return Terms(lease=lease, drift=0.0, slack=0.0, ahead=1.0, swing=0, patience=lease, scrape=1)
 
@@ -186,10 +188,13 @@
             if front == halt[0] and now < halt[1]:
                 out += [message for message in coming if message[1] == front]
                 continue
-            events: list[object] = [Came(Id(str(source), 1), message) for source, target, message in coming
-                                    if target == front]  # type: ignore[arg-type]
-            events += [Peers(tuple(id for id in ids() if id.name != str(front))),
-                       Need({RESOURCE: 1500.0 if front == hot else 0.0})]
+            events: list[object] = [
+                Came(Id(str(source), 1), message) for source, target, message in coming if target == front
+            ]  # type: ignore[arg-type]
+            events += [
+                Peers(tuple(id for id in ids() if id.name != str(front))),
+                Need({RESOURCE: 1500.0 if front == hot else 0.0}),
+            ]
             for post in one.step(float(now), events):  # type: ignore[arg-type]
                 assert isinstance(post, Post)
                 out.append((front, int(post.receiver.name), post.message))
@@ -220,10 +225,14 @@
         layer = list(following.values())
         count += len(layer)
         for rights, _, now, _, stopped in layer:
-            used = max(used, sum(
-                one.usable(RESOURCE, float(now)) for front, one in enumerate(rights)
-                if front != stopped[0] or now > stopped[1]
-            ))  # fmt: skip
+            used = max(
+                used,
+                sum(
+                    one.usable(RESOURCE, float(now))
+                    for front, one in enumerate(rights)
+                    if front != stopped[0] or now > stopped[1]
+                ),
+            )
         if used > 3 * HOME:
             break
     return count, used
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -77,11 +77,16 @@
         """One line is wrong in each, and the draw named says so by its rule."""
         wrong = {
             "mangled": ("net/messages.py", "if ask.key is not None", "if not ask.key", "settings", 1),
-            "key": ("rules.py", "if not request.ran or request.kind.repeat is Repeat.FREE:", "if True:",
-                    "settings", 12),
+            "key": (
+                "rules.py",
+                "if not request.ran or request.kind.repeat is Repeat.FREE:",
+                "if True:",
+                "settings",
+                12,
+            ),
             "limit": ("rules.py", "if not plan.limit or request.sends:", "if True:", "trouble", 4),
             "attempts": ("rules.py", "request.sends >= self.settings.max_attempts", "False", "settings", 3),
-        }  # fmt: skip
+        }
         with tempfile.TemporaryDirectory() as folder, pool(JOBS) as workers:
             plays = {}
             for rule, (part, right, changed, theme, seed) in wrong.items():
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -29,7 +29,8 @@
     "Extra": {
         "BeyondShare": 0.1,
         "ColdUnits": 9.0,
-        "MeanUnits": 2.0, "Largest": 6,
+        "MeanUnits": 2.0,
+        "Largest": 6,
         "MeterPeriodS": 0.0,
         "SaysOthers": False,
         "WithinShare": 0.3,
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -71,8 +71,10 @@
 
     def test_a_keyed_request_stays_in_its_group_and_window(self) -> None:
         for trace, box, cell, at, rules in (
-            ("k0", "s-0+", 0, 10.9, []), ("k1", "s-1", 1, 10.2, ["key"]), ("k2", "s-0", 0, 11.2, ["key"]),
-        ):  # fmt: skip
+            ("k0", "s-0+", 0, 10.9, []),
+            ("k1", "s-1", 1, 10.2, ["key"]),
+            ("k2", "s-0", 0, 11.2, ["key"]),
+        ):
             self.judge.took(trace, Asked(0, 1, KEYED, 2.0, 10.0, 11.5))
             self.judge.attempt(trace, "s-0", 10.0, cell=0).ended = 10.1
             self.judge.attempt(trace, box, at, cell=cell).ended = at + 0.1
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -107,8 +107,10 @@
     recovery = Recovery(10.0, 12.05)
     recovery.step(10.1, [Evidence(Stage.DISK, "found"), Evidence(Stage.LIST, "an old list")])
     assert recovery.lines(10.4) == [
-        "recovery.stage peers", "recovery.passed disk by=found waited=0.100", "recovery.waits peers for=0.700"
-    ]  # fmt: skip
+        "recovery.stage peers",
+        "recovery.passed disk by=found waited=0.100",
+        "recovery.waits peers for=0.700",
+    ]
     assert [one.what for one in recovery.step(11.2)] == ["bound", "an old list"]
     assert recovery.door_open()
 
@@ -155,10 +157,14 @@
         workers = pool()
         cls.addClassCleanup(workers.shutdown)
         small = {
-            **values, "fleet": {"fronts": 3, "boxes": 2, "seconds": 7}, "load": {"rate": 60, "hosts": 3},
-            "trouble": [{"kind": "hold", "at": 0.5, "of": [0], "box": 1, "lasts_s": 6},
-                        {"kind": "powercut", "at": 2, "lasts_s": 1}],
-        }  # fmt: skip
+            **values,
+            "fleet": {"fronts": 3, "boxes": 2, "seconds": 7},
+            "load": {"rate": 60, "hosts": 3},
+            "trouble": [
+                {"kind": "hold", "at": 0.5, "of": [0], "box": 1, "lasts_s": 6},
+                {"kind": "powercut", "at": 2, "lasts_s": 1},
+            ],
+        }
         cls.plays = {
             "whole": workers.submit(play_values, "whole", values),
             "forgetful": workers.submit(play_values, "forgetful", small, forgetful),
@@ -188,13 +194,25 @@
         scenario = read_scenario(ROOT / "tests" / "scenarios" / "roll.toml")
         self.ports = [self.free() for _ in range(4)]
         listen, discovery, ops, peers = self.ports
-        box = {"instanceId": "s-003", "hostPort": "127.0.0.1:9", "zone": "basement", "machineType": "m1",
-               "cell": 0, "lifecycle": "SERVING", "weight": 1.0, "startedAtMs": 0}  # fmt: skip
+        box = {
+            "instanceId": "s-003",
+            "hostPort": "127.0.0.1:9",
+            "zone": "basement",
+            "machineType": "m1",
+            "cell": 0,
+            "lifecycle": "SERVING",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
         config = {
-            "name": "n1", "listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}", "seed": "1",
-            "settings": settings_of(scenario), "ops": f"127.0.0.1:{ops}",
+            "name": "n1",
+            "listen": f"127.0.0.1:{listen}",
+            "discovery": f"127.0.0.1:{discovery}",
+            "seed": "1",
+            "settings": settings_of(scenario),
+            "ops": f"127.0.0.1:{ops}",
             "known": {"generation": 1, "reset": True, "instances": [box]},
-        }  # fmt: skip
+        }
         (self.folder / "config.json").write_text(json.dumps(config))
         self.durable = self.folder / "durable"
         self.fronts(f'["127.0.0.1:{peers}"]')
@@ -215,9 +233,11 @@
     async def process(self) -> Any:
         words = (sys.executable, "-m", "cleatyoke", "--fronts", str(self.folder / "fronts.toml"))
         process = await asyncio.create_subprocess_exec(
-            *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            *words,
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
             env={**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder)},
-        )  # fmt: skip
+        )
         try:
             yield process
         finally:
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -16,6 +16,10 @@
     run("ruff", "check", "--no-cache", ".")
 
 
+def test_format() -> None:
+    run("ruff", "format", "--check", "--no-cache", ".")
+
+
 def test_types() -> None:
     run("mypy", "--cache-dir=/dev/null")
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -168,8 +168,16 @@
 
 
 def line(state: str, started: int = 0, version: int = 8) -> dict[str, Any]:
-    box = {"instanceId": "s-a", "hostPort": "127.0.0.1:9", "zone": "basement", "machineType": "m",
-           "cell": 0, "lifecycle": state, "weight": 1.0, "startedAtMs": started}  # fmt: skip
+    box = {
+        "instanceId": "s-a",
+        "hostPort": "127.0.0.1:9",
+        "zone": "basement",
+        "machineType": "m",
+        "cell": 0,
+        "lifecycle": state,
+        "weight": 1.0,
+        "startedAtMs": started,
+    }
     return {"generation": version, "reset": False, "instances": [box]}
 
 
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -29,7 +29,8 @@
 
 def scenario(troubles: list[dict[str, object]], **changes: dict[str, object]) -> Scenario:
     values: dict[str, dict[str, object]] = {
-        "fleet": {"fronts": 6, "boxes": 4, "seconds": 8}, "load": {"rate": 90, "hosts": 2}
+        "fleet": {"fronts": 6, "boxes": 4, "seconds": 8},
+        "load": {"rate": 90, "hosts": 2},
     }
     tables = {name: {**values.get(name, {}), **table} for name, table in {**values, **changes}.items()}
     plans = [{"name": "p", "reserve": 4, "worth": 2}]
@@ -64,9 +65,18 @@
 
 def test_a_play_keeps_the_rules_and_is_the_same_every_time() -> None:
     met = (
-        "roll 1 0 2", "roll 2 1 0", "powercut 3 2 1", "replace 2 0 0", "restart 4 1 0.5", "reset 1 1 3",
-        "lose_answers 1 2 3", "spoil 1 3 3", "slow 5 2 1", "silence 5 3 1", "drain 6 2 1",
-    )  # fmt: skip
+        "roll 1 0 2",
+        "roll 2 1 0",
+        "powercut 3 2 1",
+        "replace 2 0 0",
+        "restart 4 1 0.5",
+        "reset 1 1 3",
+        "lose_answers 1 2 3",
+        "spoil 1 3 3",
+        "slow 5 2 1",
+        "silence 5 3 1",
+        "drain 6 2 1",
+    )
     troubles: list[dict[str, object]] = [
         {"kind": kind, "at": int(at), "of": [int(of)], "lasts_s": float(lasts), "share": 0.3}
         for kind, at, of, lasts in map(str.split, met)
@@ -86,8 +96,9 @@
 def test_a_loss_of_all_power_and_what_opening_everything_at_once_does_then() -> None:
     loss = scenario(
         [{"kind": "powercut", "at": 1, "lasts_s": 1.3}, {"kind": "restart", "at": 1, "lasts_s": 1}],
-        load={"rate": 170, "hosts": 6, "retries": 2}, box={"ramp_s": 5, "cold_from": 0.1},
-    )  # fmt: skip
+        load={"rate": 170, "hosts": 6, "retries": 2},
+        box={"ramp_s": 5, "cold_from": 0.1},
+    )
     ours, wrong = emulate(loss), emulate(loss, opened_at_once)
     assert ours.broken() == [] and not any(box.fell for box in ours.boxes)
     assert any(box.fell for box in wrong.boxes)
@@ -111,9 +122,11 @@
     small = scenario([])
     kind = small.kinds[0]
     wishes = [
-        Wish(0.1, 0, kind, 2.0, 0.2), Wish(0.2, 0, kind, 2.0, 0.2 + kind.aim + 0.1),
-        Wish(0.3, 0, kind, 4.0, 0.4), Wish(1.3, 0, kind, 4.0, None),
-    ]  # fmt: skip
+        Wish(0.1, 0, kind, 2.0, 0.2),
+        Wish(0.2, 0, kind, 2.0, 0.2 + kind.aim + 0.1),
+        Wish(0.3, 0, kind, 4.0, 0.4),
+        Wish(1.3, 0, kind, 4.0, None),
+    ]
     unit = kind.worth * 2
     late = 2 * 0.35 * unit * kind.late_share  # all of its second's reserve is taken by the two in time
     assert worth.earned(small, wishes) == pytest.approx([2 * unit, late, (2 + 2 * 0.35) * unit, 0.0])
@@ -125,8 +138,11 @@
 
 
 def test_each_part_of_the_measurement_ends_with_its_figures() -> None:
-    figures = {(one["kind"], one["figure"]): one["value"] for kind in ("ours", "apart", "at once")
-               for one in recovery.recover(kind, 4, 1)}  # fmt: skip
+    figures = {
+        (one["kind"], one["figure"]): one["value"]
+        for kind in ("ours", "apart", "at once")
+        for one in recovery.recover(kind, 4, 1)
+    }
     assert figures["ours", "rules broken"] == figures["apart", "rules broken"] == "0"
     assert 0 < float(figures["apart", "part of the reachable while cold"]) < 1
     assert float(figures["sees all", "s to 90%"]) <= float(figures["ours", "s to 90%"])
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -35,9 +35,14 @@
     path.write_text(json.dumps(values))
     kept = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cleatyoke", cwd=ROOT, stderr=asyncio.subprocess.PIPE, pass_fds=fds,
+        sys.executable,
+        "-m",
+        "cleatyoke",
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+        pass_fds=fds,
         env={**kept, **variables, "RELAY_CONFIG": str(path)},
-    )  # fmt: skip
+    )
 
 
 class Inherited(unittest.TestCase):
@@ -125,8 +130,15 @@
 
     def policy(self, since: float, part: float, taken_over: bool) -> Policy:
         plan = plan_spec(reserve=0.0, limit=self.limit, limit_burst=self.burst, limit_slack=self.slack)
-        made = settings([class_spec()], [plan], hosts=1, quiet_since=since, limit_share=part,
-                        taken_over=taken_over, max_attempts=4)  # fmt: skip
+        made = settings(
+            [class_spec()],
+            [plan],
+            hosts=1,
+            quiet_since=since,
+            limit_share=part,
+            taken_over=taken_over,
+            max_attempts=4,
+        )
         policy = Policy(made)
         policy.step(since + 0.3, [api.NodeList(api.ListKind.FULL, [entry(11, 0)])])
         return policy
@@ -134,8 +146,17 @@
     def ask(self, policy: Policy, now: float, units: float) -> float:
         """Units that go out for a request made now, which a node answers at once."""
         self.asked += 1
-        arrival = api.Arrival(request=str(self.asked), class_index=0, plan=0, volume=1, item=self.asked,
-                              cell=0, units=units, deadline=now + 1.5, hosts=1)  # fmt: skip
+        arrival = api.Arrival(
+            request=str(self.asked),
+            class_index=0,
+            plan=0,
+            volume=1,
+            item=self.asked,
+            cell=0,
+            units=units,
+            deadline=now + 1.5,
+            hosts=1,
+        )
         sent = 0.0
         for action in policy.step(now, [arrival]):
             if isinstance(action, api.Send):
--- a/tests/test_vrrp.py
+++ b/tests/test_vrrp.py
@@ -47,9 +47,11 @@
 
     def test_of_two_masters_the_higher_priority_stays_then_the_higher_address(self) -> None:
         for priority, source, stays in (
-            (100, "10.0.0.9", True), (200, "10.0.0.1", False),
-            (128, "10.0.0.1", True), (128, "10.0.0.10", False),
-        ):  # fmt: skip
+            (100, "10.0.0.9", True),
+            (200, "10.0.0.1", False),
+            (128, "10.0.0.1", True),
+            (128, "10.0.0.10", False),
+        ):
             router = self.backup()
             router.timer(103.5)
             router.received(said(priority), source, 104.0)
