Look again at nodes with something held when a list comes, and begin the capacity measurement

Change: that, in on_list; cost goes with what is held. Also: holds' digest is summed up once a change (20 ms a probe at 3,200 holds), the package emulate/capacity (fits, hollow fleets, needs, situations, page) and its command. Its page is not made yet.

--- a/cleatyoke/emulate/__main__.py
+++ b/cleatyoke/emulate/__main__.py
@@ -1,41 +1,62 @@
 """``python -m cleatyoke.emulate``: play drawn fault scripts, or one from its line; exit status 1 where
-one broke."""
+one broke. ``python -m cleatyoke.emulate capacity``: make the capacity page."""
 
 from __future__ import annotations
 
-import argparse
 import json
 import sys
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 
+import click
+
+from cleatyoke.emulate.capacity.command import capacity
 from cleatyoke.emulate.script import draw, line, play, shrink
 
 
-def main(words: Sequence[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="python -m cleatyoke.emulate", description=__doc__)
-    parser.add_argument("--scripts", type=int, default=100)
-    parser.add_argument("--first", type=int, default=1, help="number of the first script")
-    parser.add_argument("--size", type=int, default=12, help="fronts")
-    parser.add_argument("--jobs", type=int, default=1, help="plays at once")
-    parser.add_argument("--line", help="play this one script, as a failed run printed it")
-    chosen = parser.parse_args(words)
-    scripts = (
-        [json.loads(chosen.line)]
-        if chosen.line
-        else [draw(seed, chosen.size) for seed in range(chosen.first, chosen.first + chosen.scripts)]
-    )
+@click.group(invoke_without_command=True, help=__doc__)
+@click.option("--scripts", type=click.IntRange(1), default=100, show_default=True)
+@click.option("--first", type=int, default=1, help="Number of the first script.")
+@click.option("--size", type=click.IntRange(1), default=12, show_default=True, help="Fronts.")
+@click.option("--jobs", type=click.IntRange(1), default=1, help="Plays at once.")
+@click.option("--line", "one", help="Play this one script, as a failed run printed it.")
+@click.pass_context
+def commands(ctx: click.Context, scripts: int, first: int, size: int, jobs: int, one: str | None) -> None:
+    if ctx.invoked_subcommand is None:
+        drawn = [draw(seed, size) for seed in range(first, first + scripts)]
+        ctx.exit(play_scripts([json.loads(one)] if one else drawn, jobs, shorten=not one))
+
+
+commands.add_command(capacity)
+
+
+def play_scripts(scripts: list[dict[str, object]], jobs: int, shorten: bool) -> int:
+    """Returns 1 where a rule broke."""
     failed = 0
-    with ProcessPoolExecutor(chosen.jobs) as pool:
+    with ProcessPoolExecutor(jobs) as pool:
         for script, broken in zip(scripts, pool.map(play, scripts)):
             if broken:
                 failed += 1
-                print(f"{broken[0]}\n  {line(script)}", flush=True)
-                if not chosen.line:
-                    print(f"  shortest: {line(shrink(script, broken[0].partition(':')[0]))}", flush=True)
-    print(f"{len(scripts)} scripts of {scripts[0]['size']} fronts, {failed} broke a rule")
+                click.echo(f"{broken[0]}\n  {line(script)}")
+                if shorten:
+                    click.echo(f"  shortest: {line(shrink(script, broken[0].partition(':')[0]))}")
+    click.echo(f"{len(scripts)} scripts of {scripts[0]['size']} fronts, {failed} broke a rule")
     return int(failed > 0)
 
 
+def main(words: Sequence[str] | None = None) -> int:
+    """Returns the exit status; 2, after one line that begins with the option's name, for a bad option."""
+    try:
+        return int(commands.main(words, "python -m cleatyoke.emulate", standalone_mode=False) or 0)
+    except click.BadParameter as error:
+        name = error.param.opts[-1] if error.param else error.param_hint
+        click.echo(f"{name}: {error.message}", err=True)
+    except click.NoSuchOption as error:
+        click.echo(f"{error.option_name}: no such option", err=True)
+    except click.ClickException as error:
+        click.echo(error.message, err=True)
+    return 2
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/cleatyoke/emulate/capacity/duties.py
@@ -0,0 +1,154 @@
+"""What other duties of a front cost by the members or by what is kept: the real I/O-free parts."""
+
+from __future__ import annotations
+
+import random
+import zlib
+from dataclasses import dataclass
+
+from cleatyoke import api
+from cleatyoke.durable.records import Memory, rows_of
+from cleatyoke.emulate.capacity.cost import processor_seconds
+from cleatyoke.emulate.capacity.nodes import NOW, ListedFront, settings
+from cleatyoke.emulate.capacity.plan import PLAN
+from cleatyoke.figures import Figures
+from cleatyoke.fleet.replicas import Holds
+from cleatyoke.fleet.rights import Need, Peers, Rights
+from cleatyoke.fleet.sharing import Sharing
+from cleatyoke.fleet.wire import Id, Rumour, State, decode_view, encode_view
+from cleatyoke.load.probes import Prober
+from cleatyoke.net.discovery import EACH, LEAST, MOST, PERIOD
+from cleatyoke.net.fleet import TRADE
+from cleatyoke.recovery import Pace
+
+RESOURCES = 10  # limits and cold nodes that a front needs parts of at one time
+OUTAGE = 60.0  # seconds for which discovery is down
+RETUNES = 20
+
+
+@dataclass(slots=True, frozen=True)
+class ViewCosts:
+    """A whole view of so many members: bytes, and processor seconds to write and to read it."""
+
+    bytes: int
+    encode: float
+    decode: float
+
+
+def whole_view(members: int, seed: int) -> ViewCosts:
+    rng = random.Random(seed)
+    lives = [
+        Rumour(Id(f"front-{one:05d}", 1_790_000_000_000 + rng.randrange(10**9)), address(one), State.ALIVE, 0)
+        for one in range(members)
+    ]
+    data = encode_view("capacity", lives[0], lives)
+    return ViewCosts(
+        len(data),
+        processor_seconds(lambda: encode_view("capacity", lives[0], lives), 3),
+        processor_seconds(lambda: decode_view("capacity", data), 3),
+    )
+
+
+def address(number: int) -> str:
+    return f"10.{number // 62500}.{number // 250 % 250}.{number % 250 + 1}:7946"
+
+
+@dataclass(slots=True, frozen=True)
+class HoldCosts:
+    """So many holds, each placed by another front. ``digest``: with every probe."""
+
+    bytes: int
+    digest: float
+    merge: float
+    rows: int  # bytes on the disk
+
+
+def holds(count: int, seed: int) -> HoldCosts:
+    copies = Holds()
+    held = {f"s-{box:06d}": frozenset({(Id(f"front-{box:05d}", seed), 1)}) for box in range(count)}
+    copies = Holds({Id(f"front-{box:05d}", seed): 1 for box in range(count)}, held)
+    sharing = Sharing(lambda: Id("front-00000", seed), holds=copies)
+    rows = sum(len(row.data) for row in rows_of(Memory(holds=copies), "capacity/front"))
+    return HoldCosts(
+        len(sharing.dump()),
+        processor_seconds(sharing.sum_up, 5),
+        processor_seconds(lambda: copies.merge(copies), 5),
+        rows,
+    )
+
+
+def rights_at_rest(members: int, seed: int) -> float:
+    """Processor seconds a second of a front that looks at its needs, with enough of everything."""
+    peers = {Id(f"front-{one:05d}", 1): None for one in range(members)}
+    doubted: dict[Id, None] = {}
+    rights = Rights(0.0, random.Random(seed))
+    need = Need({f"limit:{number}": 100.0 for number in range(RESOURCES)})
+    now = 10.0
+
+    def look() -> None:
+        nonlocal now
+        now += TRADE
+        rights.step(now, [Peers(tuple(one for one in peers if one not in doubted)), need])
+
+    return processor_seconds(look, 100) / TRADE
+
+
+def discovery_calls(hosts: int, seed: int) -> float:
+    """Calls a second, of all hosts together, at a shared discovery that is down, by the real ``Pace``."""
+    calls = 0
+    for host in range(hosts):
+        pace = Pace(random.Random(f"{seed}:{host}"), hosts, EACH, MOST, LEAST, PERIOD)
+        at = pace.broke()
+        while at < OUTAGE:
+            calls += 1
+            at += max(0.01, pace.failed())
+    return calls / OUTAGE
+
+
+def probes_a_second(hosts: int, nodes: int, seed: int) -> float:
+    """Of one front while a node is cold, by the real ``Prober``."""
+    prober = Prober(hosts, 1e9, seed)
+    entries = [api.NodeEntry(node, node, 0, api.NodeState.LIVE, 0.0) for node in range(nodes)]
+    entries[0].up_since = NOW
+    prober.listed(api.NodeList(api.ListKind.FULL, entries))
+    asked, now = 0, NOW
+    for _ in range(20 * 60):
+        now += 0.05
+        asked += prober.step(now) is not None
+    return asked / 60
+
+
+def cold_wait(hosts: int, seed: int) -> float:
+    """Seconds until one front's even part of a node that has just started has paid off a request of mean
+    units, where the front knows no usual rate: by ``Policy.bears_at``."""
+    front = ListedFront(8, hosts)
+    front.replace_node(seed)
+    node = front.policy.nodes[max(front.policy.nodes)]
+    node.cold.level, node.cold.filled = -front.policy.settings.mean, front.now
+    front.policy.step(front.now, [])
+    return max(0.0, front.policy.bears_at(node) - front.now)
+
+
+def limit_wait(hosts: int) -> float:
+    """Seconds until one front's even part of a limit of the archive's size has filled by a request of mean
+    units: on paper, by the rate that ``Policy.within_limit_at`` takes."""
+    plan, terms = settings(hosts).plans[0], settings(hosts)
+    return terms.mean / (plan.rate / hosts)
+
+
+def retune(nodes: int, seed: int) -> float:
+    """Processor seconds for a change of settings to be in force in the policy."""
+    front = ListedFront(nodes)
+    changed = settings(PLAN.fronts)
+    changed.seed = seed
+    return processor_seconds(lambda: front.policy.step(front.now, [api.Retuned(changed)]), RETUNES)
+
+
+def settings_text() -> int:
+    """Bytes of a change of settings that is sent as the whole settings, as a file has them; packed."""
+    return len(zlib.compress(repr(settings(PLAN.fronts)).encode()))
+
+
+def metrics_bytes(classes: int) -> int:
+    lines = Figures().lines([f"class-{number}" for number in range(classes)], PLAN.nodes, 0)
+    return len("\n".join(lines))
--- /dev/null
+++ b/cleatyoke/emulate/capacity/needs.py
@@ -0,0 +1,229 @@
+"""The need of each duty at the design size against its budget, and their ranking."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from cleatyoke.config import Shares
+from cleatyoke.emulate.capacity import duties
+from cleatyoke.emulate.capacity.measure import Kind
+from cleatyoke.emulate.capacity.plan import DAY, PLAN, Plan
+from cleatyoke.emulate.capacity.results import Results
+from cleatyoke.fleet.replicas import MOST_ACTORS
+from cleatyoke.fleet.wire import MOST_COPIES, MOST_STREAM
+from cleatyoke.net.discovery import BEAT, EACH
+from cleatyoke.net.listings import MOST_LIST
+
+LOAD = 0.7  # of a core that a process of the data path may be kept at
+ENTRIES = 3  # of the list for one machine that is replaced: drains, went, came
+ENTRY_HEAD = 60  # bytes of a line of changes beside its entries
+PROBE_BYTES = 400  # of a probe, its answer and their TCP acknowledgements, on paper
+SCRAPE_EVERY = 15.0  # seconds between two scrapes of the metrics
+LOG_LINE = 160  # bytes of a line of the log, on paper
+KEPT_OPEN = 15.0  # seconds for which an idle connection to a node is kept: half of an idle limit of 30 s
+SETTINGS_BYTES = 20_000  # of the whole settings of a deployment as one file, on paper
+CLASSES = 6
+
+
+@dataclass(slots=True, frozen=True)
+class Need:
+    """``need`` and ``budget`` are in ``unit``. ``mechanism``: the file and function that carries it today;
+    empty where nothing does."""
+
+    duty: str
+    need: float
+    budget: float
+    unit: str
+    kind: str
+    mechanism: str
+    why: str = ""
+    asked: str = ""  # in words, where there is no figure
+
+    @property
+    def factor(self) -> float:
+        return self.need / self.budget if self.mechanism else math.inf
+
+
+def workers(results: Results, plan: Plan = PLAN) -> int:
+    """Processes of a front that its statements take."""
+    each = results.at("data path", "cpu") / plan.front_statements
+    return math.ceil(plan.front_statements * each / LOAD) if math.isfinite(each) else 1
+
+
+def entry_bytes(results: Results) -> float:
+    return results.at("node list", "list_bytes") / PLAN.nodes
+
+
+def missing(plan: Plan = PLAN) -> Iterator[Need]:
+    """What nothing carries today."""
+
+    def lacks(duty: str, asked: str, why: str) -> Need:
+        return Need(duty, math.nan, math.nan, "", Kind.PAPER.value, "", why, asked)
+
+    yield lacks(
+        "distribution of configuration",
+        f"{plan.config_changes_a_day:,} changes a day, each in force within {plan.config_within:g} s",
+        "a file and SIGHUP at each front; no version, no relay, nothing for a front that was away",
+    )
+    yield lacks(
+        "control machines",
+        f"{plan.fronts / plan.control_machines:.0f} fronts each",
+        "no process and no role for them",
+    )
+    yield lacks(
+        "subset of nodes for a front",
+        f"of {plan.nodes:,} nodes what a front uses",
+        "every front keeps, and may connect to, all nodes",
+    )
+    yield lacks(
+        "workers of a front that share one control part",
+        "one member, watch and part of limits a front",
+        "each process of a front is all of these by itself",
+    )
+
+
+def list_needs(results: Results, plan: Plan = PLAN) -> Iterator[Need]:
+    node = "Directory.apply (directory.py), NodeTable (node_table.py)"
+    long = "Discovery.take_long (net/discovery.py)"
+    whole, entry, real = results.at("node list", "list_bytes"), entry_bytes(results), Kind.REAL.value
+    yield Need("list of nodes, whole, at 3 KB/s", whole / plan.bytes_s, plan.config_within, "s", real, long)
+    yield Need("list of nodes, whole, size", whole, MOST_LIST, "bytes", real, "read_lines (net/listings.py)")
+    zone = 2 * plan.zone_nodes * entry
+    yield Need("zone of nodes lost and back", zone / plan.bytes_s, plan.primary_within, "s", real, node)
+    ordinary = plan.node_rate * ENTRIES * (entry + ENTRY_HEAD)
+    yield Need("list of nodes, ordinary changes", ordinary, plan.bytes_s, "bytes/s", real, node)
+    change = results.at("node list", "change") + results.at("node list", "primary")
+    cpu = plan.node_rate * ENTRIES * change + plan.config_rate * results.at("settings in the policy", "cpu")
+    yield Need("changes of nodes and settings, processor", cpu, plan.core, "core", real, node)
+    yield Need("list of nodes, at rest", results.at("node list", "rest"), plan.core, "core", real, node)
+    turn = max(results.at("node list", "longest_turn"), results.at("node list", "longest_turn_again"))
+    yield Need("list of nodes, whole, longest turn of the loop", turn, 0.02, "s", real, long)
+    taken = results.at("node list", "take_cpu") / plan.config_within
+    yield Need("list of nodes, whole, processor within 13 s", taken, plan.core, "core", real, long)
+    memory = results.at("start of a front", "resident")
+    yield Need("memory of a front that knows all nodes", memory, plan.memory, "bytes", real, node)
+    lost = results.at("node list", "new_object") / results.at("node list", "request")
+    yield Need(
+        "a new object, against another request",
+        *(lost, 2.0, "times", real, "Policy.dispatch (rules.py)"),
+        "all holders are looked at for each",
+    )
+
+
+def member_needs(results: Results, plan: Plan = PLAN) -> Iterator[Need]:
+    members, hollow, real = "Members (fleet/members.py)", Kind.HOLLOW.value, Kind.REAL.value
+    window = 13.0 * plan.bytes_s
+    yield Need(
+        "membership, at rest", results.at("members, quiet", "bytes"), plan.bytes_s, "bytes/s", hollow, members
+    )
+    cpu = results.at("members, quiet", "cpu")
+    yield Need("membership, at rest, processor", cpu, plan.core, "core", hollow, members)
+    memory = results.at("members, quiet", "memory") * plan.fronts
+    yield Need("membership, memory", memory, plan.memory, "bytes", hollow, members)
+    for duty in ("a zone lost", "a zone back", "a region back", "power loss"):
+        name = f"members, {duty}"
+        yield Need(
+            f"membership, {duty}, bytes in 13 s",
+            *(results.at(name, "mean_bytes"), window, "bytes", hollow, members),
+        )
+        yield Need(
+            f"membership, {duty}, at the member that sends most",
+            *(results.at(name, "most_bytes"), window, "bytes", hollow, members),
+        )
+        busy = results.at(name, "cpu") / 13.0
+        yield Need(f"membership, {duty}, processor within 13 s", busy, plan.core, "core", hollow, members)
+        settled = results.at(name, "settled")
+        yield Need(f"membership, {duty}, until all agree", settled, plan.config_within, "s", hollow, members)
+    view = results.at("whole view", "bytes")
+    yield Need("a whole view, size", view, MOST_STREAM, "bytes", real, "encode_view (fleet/wire.py)")
+    all_workers = plan.fronts * workers(results)
+    wide = results.at("whole view", "bytes", all_workers)
+    yield Need(
+        "a whole view, with each worker a member",
+        *(wide, MOST_STREAM, "bytes", real, "encode_view (fleet/wire.py)"),
+        f"{workers(results)} processes a front",
+    )
+
+
+def shared_needs(results: Results, plan: Plan = PLAN) -> Iterator[Need]:
+    """Holds, parts of limits and of cold nodes, probes, discovery, the disk."""
+    real, paper, hold = Kind.REAL.value, Kind.PAPER.value, "Sharing, Holds (fleet/sharing.py, replicas.py)"
+    all_workers = plan.fronts * workers(results)
+    yield Need("holds, lives that ever placed one", all_workers, MOST_ACTORS, "lives", paper, hold)
+    yield Need(
+        "holds, one by each front", results.at("holds by hand", "bytes"), MOST_COPIES, "bytes", real, hold
+    )
+    rights = results.at("parts of limits", "cpu")
+    yield Need("parts of limits, at rest", rights, plan.core, "core", real, "Rights.step (fleet/rights.py)")
+    wait = results.at("a limit's part", "wait")
+    yield Need(
+        "a limit of 8 units/s, one front's part, a request of 2 units",
+        *(wait, plan.config_within, "s", paper, "Policy.within_limit_at (rules.py)"),
+        "borrowing from one front after the other takes thousands of steps",
+    )
+    cold = results.at("a cold node's part", "wait")
+    yield Need(
+        "a cold node, one front's part, a request of 2 units",
+        *(cold, plan.primary_within, "s", real, "Policy.bears_at (rules.py)"),
+    )
+    probes = duties.probes_a_second(plan.fronts, plan.nodes, 1)
+    prober = "Prober (load/probes.py)"
+    yield Need("probes while a node is cold", probes * PROBE_BYTES, plan.bytes_s, "bytes/s", real, prober)
+    pace = "Pace (recovery.py)"
+    calls = results.at("calls at discovery", "calls")
+    yield Need("calls at a shared discovery that is down", calls, 1 / EACH, "calls/s", real, pace)
+    beats = all_workers / BEAT
+    yield Need(
+        "beats of a shared discovery's watches",
+        *(beats, plan.control_machines / EACH, "lines/s", paper, "Watch (net/discovery.py)"),
+    )
+    rows = results.at("holds by hand", "rows")
+    yield Need("durable state, one write", rows, 1 << 20, "bytes", real, "rows_of (durable/records.py)")
+    told = plan.machine_rate * ENTRIES * LOG_LINE
+    yield Need("log, of members and nodes", told, plan.bytes_s, "bytes/s", paper, "log (net/fleet.py)")
+    scraped = duties.metrics_bytes(CLASSES) / SCRAPE_EVERY
+    yield Need(
+        "metrics, a scrape every 15 s", scraped, plan.bytes_s, "bytes/s", real, "Figures.lines (figures.py)"
+    )
+    moved = plan.primary_changes_a_day / DAY * 2 * entry_bytes(results)
+    yield Need("changes of primary, bytes", moved, plan.bytes_s, "bytes/s", real, "NodeTable (node_table.py)")
+    yield Need(
+        "a change of primary, until a front has heard",
+        *(6.0, plan.primary_within, "s", paper, "Watch (net/discovery.py), tests/test_told.py"),
+        "by the rule of 6 s; at 3,100 fronts before one discovery it was not run",
+    )
+
+
+def data_needs(results: Results, plan: Plan = PLAN) -> Iterator[Need]:
+    real, paper = Kind.REAL.value, Kind.PAPER.value
+    server, count = "Front (net/server.py)", workers(results)
+    busy = results.at("data path", "cpu")
+    yield Need("statements of a front, one process", busy, LOAD, "core", real, server, f"{count} processes")
+    held = results.at("client connections", "bytes") * plan.front_connections / count
+    yield Need("client connections, memory of a process", held, plan.memory, "bytes", real, server)
+    sockets = plan.front_connections / count
+    bound = Shares.of(1024, False).clients
+    yield Need("client connections, sockets of a process", sockets, bound, "sockets", paper, server)
+    each = plan.front_statements / count / plan.nodes  # a second, of one process at one node
+    rested = plan.nodes * (1 - math.exp(-each * KEPT_OPEN))
+    boxes = Shares.of(1024, False).boxes
+    yield Need("connections to nodes, of a process", rested, boxes, "sockets", paper, "Boxes (net/boxes.py)")
+    at_node = plan.fronts * count * (1 - math.exp(-each * KEPT_OPEN))
+    yield Need(
+        "idle connections at one node",
+        *(at_node, 1024.0, "sockets", paper, "Boxes (net/boxes.py)"),
+        "against the 1,024 descriptors of a machine on the platform",
+    )
+    started = results.at("start of a front", "cpu")
+    yield Need("start of a front, processor", started, 10.0, "s", real, "Daemon (__main__.py)")
+    restarts = plan.front_restarts_a_day * results.at("node list", "list_bytes") / DAY / plan.fronts
+    yield Need("whole lists of restarted fronts", restarts, plan.bytes_s, "bytes/s", real, server)
+
+
+def all_needs(results: Results) -> list[Need]:
+    """Those that nothing carries first, then by their factor; what was not measured last."""
+    found = [*missing(), *list_needs(results), *member_needs(results)]
+    found += [*shared_needs(results), *data_needs(results)]
+    return sorted(found, key=lambda one: -one.factor if not math.isnan(one.factor) else math.inf)
--- a/cleatyoke/emulate/capacity/nodes.py
+++ b/cleatyoke/emulate/capacity/nodes.py
@@ -82,10 +82,10 @@
             self.policy.step(self.now, [])
             self.prober.step(self.now)
 
-    def serve(self, number: int) -> None:
-        """One request from its arrival to its end."""
+    def serve(self, number: int, new: bool = False) -> None:
+        """One request from its arrival to its end; a new object may go to any node."""
         self.now += 0.001
-        cell = number % len(self.listing.instances)
+        cell = -1 if new else number % len(self.listing.instances)
         arrival = api.Arrival(f"r{number}", 0, 0, number % 50, None, cell, 2.0, self.now + 1.5, 10)
         for action in self.policy.step(self.now, [arrival]):
             if isinstance(action, api.Send):
@@ -108,6 +108,7 @@
     primary: float  # two entries: one went, one holds its cell
     rest: float  # in a second
     request: float
+    new_object: float  # a request that every node could take
     memory: int
 
 
@@ -150,8 +151,21 @@
     front.rest(3)
     rest = processor_seconds(lambda: front.rest(1), IDLE_SECONDS)
     request = processor_seconds(lambda: front.serve(next(places)), 1000)
+    new_object = processor_seconds(lambda: front.serve(next(places), new=True), 10)
     return NodeCosts(
-        nodes, len(text), decode, took, again, turn, turn_again, drain, primary, rest, request, memory
+        nodes=nodes,
+        list_bytes=len(text),
+        decode=decode,
+        take_cpu=took,
+        again_cpu=again,
+        longest_turn=turn,
+        longest_turn_again=turn_again,
+        change=drain,
+        primary=primary,
+        rest=rest,
+        request=request,
+        new_object=new_object,
+        memory=memory,
     )
 
 
--- /dev/null
+++ b/cleatyoke/emulate/capacity/page.py
@@ -0,0 +1,164 @@
+"""``docs/CAPACITY.md``: its tables between markers, and its plots. The words around them are people's."""
+
+from __future__ import annotations
+
+import importlib
+import math
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+from cleatyoke.emulate.capacity.needs import Need, all_needs, workers
+from cleatyoke.emulate.capacity.plan import PLAN
+from cleatyoke.emulate.capacity.results import Figure, Results
+from cleatyoke.emulate.capacity.situations import situations
+
+BEGIN, END = "<!-- table {}: made by the command -->", "<!-- end of table {} -->"
+PLOTS = (
+    ("node list", ("change", "primary", "rest", "request"), "processor seconds of one front, by nodes"),
+    ("node list", ("take_cpu", "again_cpu", "longest_turn", "new_object"), "whole list, new object: seconds"),
+    ("members, quiet", ("bytes", "datagrams"), "a member's bytes and datagrams a second, at rest"),
+    ("members, a zone lost", ("mean_bytes", "most_bytes"), "bytes in 13 s after a zone is lost"),
+    ("members, a region back", ("mean_bytes", "most_bytes"), "bytes in 13 s after a region is back"),
+    ("data path", ("cpu",), "processor seconds a second of one front, by requests a second"),
+)
+
+
+def short(value: float) -> str:
+    """Three figures, as a person writes them."""
+    if math.isnan(value):
+        return "not measured"
+    if math.isinf(value):
+        return "-"
+    if value == 0:
+        return "0"
+    if abs(value) >= 1e6:
+        return f"{value / 1e6:.3g} M"
+    if abs(value) >= 1e4:
+        return f"{value / 1e3:.3g} k"
+    return f"{value:.3g}"
+
+
+def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> str:
+    lines = [f"| {' | '.join(head)} |", f"|{' --- |' * len(head)}"]
+    return "\n".join(lines + [f"| {' | '.join(row)} |" for row in rows])
+
+
+def slopes_table(results: Results) -> str:
+    rows = []
+    for found in sorted(results.figures.values(), key=lambda one: (one.duty, one.name)):
+        low, high = found.range
+        rows.append(
+            [
+                found.duty,
+                found.name,
+                f"{found.sizes[0]:,} to {found.sizes[-1]:,} {found.sized_by}",
+                f"{found.fit.exponent:.2f} ({found.fit.error:.2f})",
+                f"{found.fit.residual:.2f}",
+                f"{short(found.at_design)} ({short(low)} to {short(high)}) at {found.design:,.0f}",
+                near_text(found),
+                found.kind,
+            ]
+        )
+    head = ("duty", "figure", "sizes", "exponent (error)", "residual", "at the design size (range)")
+    return table((*head, "measured nearest, fit there", "real, hollow, paper"), rows)
+
+
+def near_text(found: Figure) -> str:
+    return f"{short(found.near)} at {found.near_size:,}, {short(found.at(found.near_size))}"
+
+
+def need_cells(need: Need) -> list[str]:
+    if not need.mechanism:
+        return [need.duty, need.asked, "-", "none carries it", f"nothing: {need.why}", need.kind]
+    why = f"; {need.why}" if need.why else ""
+    budget = f"{short(need.budget)} {need.unit}"
+    return [need.duty, short(need.need), budget, short(need.factor), need.mechanism + why, need.kind]
+
+
+def ranking_table(results: Results) -> str:
+    rows = [[str(place), *need_cells(need)] for place, need in enumerate(all_needs(results), 1)]
+    return table(("", "duty", "need", "budget", "need / budget", "carried by", "figure"), rows)
+
+
+def situations_table(results: Results) -> str:
+    rows = []
+    for one in situations(results):
+        rows.append(
+            [
+                one.name,
+                f"{short(one.bytes)} ({short(one.bytes / (13 * PLAN.bytes_s))})",
+                f"{short(one.cpu)} ({short(one.cpu / (13 * PLAN.core))})",
+                short(one.settles),
+                one.lacks or "nothing",
+                one.kind,
+            ]
+        )
+    head = ("situation", "bytes in the worst 13 s (of 39 KB)", "processor s in them (of 0.53)")
+    return table((*head, "s until in force, at 3 KB/s", "lacks", "figures"), rows)
+
+
+def workers_table(results: Results) -> str:
+    count = workers(results)
+    rows = [
+        ["requests a second of one process, one core full", short(capacity(results))],
+        ["processes of a front, at 0.7 of a core each", str(count)],
+        ["members, watches, parts of limits, if each process is one", f"{PLAN.fronts * count:,}"],
+    ]
+    return table(("data path", "figure"), rows)
+
+
+def capacity(results: Results) -> float:
+    return PLAN.front_statements / results.at("data path", "cpu")
+
+
+def tables(results: Results) -> Iterator[tuple[str, str]]:
+    yield "ranking", ranking_table(results)
+    yield "situations", situations_table(results)
+    yield "workers", workers_table(results)
+    yield "slopes", slopes_table(results)
+
+
+def fill(text: str, results: Results) -> str:
+    """The page with its tables made anew. Raises ``ValueError`` where a marker is missing."""
+    for name, made in tables(results):
+        begin, end = BEGIN.format(name), END.format(name)
+        before, found, rest = text.partition(begin)
+        _, closed, after = rest.partition(end)
+        if not found or not closed:
+            raise ValueError(f"the page has no place for the table {name}")
+        text = f"{before}{begin}\n\n{made}\n\n{end}{after}"
+    return text
+
+
+def blank_page() -> str:
+    """A page with nothing but its places, for a folder that has none."""
+    places = [f"## {name}\n\n{BEGIN.format(name)}\n{END.format(name)}\n" for name, _ in tables(Results([]))]
+    return "# Capacity\n\n" + "\n".join(places)
+
+
+def plot(results: Results, out: Path) -> None:
+    """Wants the extra ``plots``."""
+    matplotlib = importlib.import_module("matplotlib")
+    matplotlib.use("svg")
+    matplotlib.rcParams.update({"svg.hashsalt": "capacity", "svg.fonttype": "none"})
+    pyplot = importlib.import_module("matplotlib.pyplot")
+    for duty, names, title in PLOTS:
+        found = [results.figures[duty, name] for name in names if (duty, name) in results.figures]
+        if not found:
+            continue
+        picture, axes = pyplot.subplots(figsize=(6, 4))
+        for one in found:
+            points = [
+                (row.size, row.value)
+                for row in results.rows
+                if (row.duty, row.figure) == (duty, one.name) and math.isfinite(row.value)
+            ]
+            (dots,) = axes.plot(*zip(*points), "o", label=one.name, markersize=4)
+            line = [one.sizes[0], max(one.design, one.sizes[-1])]
+            axes.plot(line, [one.at(size) for size in line], "--", color=dots.get_color(), linewidth=1)
+        axes.axvline(found[0].design, color="grey", linewidth=0.5)
+        axes.set(xscale="log", yscale="log", xlabel=found[0].sized_by, title=title)
+        axes.legend()
+        name = f"{duty}-{names[0]}".replace(", ", "-").replace(" ", "-").replace("_", "-")
+        picture.savefig(out / f"capacity-{name}.svg", metadata={"Date": None})
+        pyplot.close(picture)
--- /dev/null
+++ b/cleatyoke/emulate/capacity/results.py
@@ -0,0 +1,113 @@
+"""The measured rows with their fits, and what they say of the design size."""
+
+from __future__ import annotations
+
+import csv
+import math
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import asdict, dataclass, fields
+from pathlib import Path
+from statistics import fmean
+
+from cleatyoke.emulate.capacity.fit import Fit, fit
+from cleatyoke.emulate.capacity.measure import SERIES, Row
+
+
+@dataclass(slots=True, frozen=True)
+class Figure:
+    """One figure of one duty. ``near``: measured at the size nearest to the design, or at the largest one."""
+
+    duty: str
+    name: str
+    sized_by: str
+    kind: str
+    fit: Fit
+    sizes: tuple[int, ...]
+    design: float
+    near_size: int
+    near: float
+    lost: int  # runs without a finite value
+
+    def at(self, size: float) -> float:
+        return self.fit.at(size)
+
+    @property
+    def at_design(self) -> float:
+        return self.fit.at(self.design)
+
+    @property
+    def range(self) -> tuple[float, float]:
+        return self.fit.range_at(self.design, self.sizes[-1])
+
+
+class Results:
+    def __init__(self, rows: Sequence[Row]) -> None:
+        self.rows = list(rows)
+        self.figures: dict[tuple[str, str], Figure] = {}
+        designs = {one.duty: one.design for one in SERIES}
+        groups: defaultdict[tuple[str, str], list[Row]] = defaultdict(list)
+        for row in self.rows:
+            groups[row.duty, row.figure].append(row)
+        for key, group in groups.items():
+            if found := read_group(group, designs[key[0]]):
+                self.figures[key] = found
+
+    def __getitem__(self, key: tuple[str, str]) -> Figure:
+        return self.figures[key]
+
+    def at(self, duty: str, figure: str, size: float | None = None) -> float:
+        """What the fit says, at the design size where none is named; NaN where it was not measured."""
+        found = self.figures.get((duty, figure))
+        if found is None:
+            return math.nan
+        return found.at_design if size is None else found.at(size)
+
+
+def read_group(rows: Sequence[Row], design: float) -> Figure | None:
+    """None where fewer than two sizes have a finite value."""
+    finite = [row for row in rows if math.isfinite(row.value)]
+    fitted = [(float(row.size), row.value) for row in finite if row.fitted]
+    if len({size for size, _ in fitted}) < 2:
+        return None
+    largest = max(row.size for row in finite)
+    near = fmean(row.value for row in finite if row.size == largest)
+    sizes = tuple(sorted({row.size for row in rows if row.fitted}))
+    first = rows[0]
+    return Figure(
+        duty=first.duty,
+        name=first.figure,
+        sized_by=first.sized_by,
+        kind=first.kind,
+        fit=fit(fitted),
+        sizes=sizes,
+        design=design,
+        near_size=largest,
+        near=near,
+        lost=len(rows) - len(finite),
+    )
+
+
+def write_rows(rows: Iterable[Row], path: Path) -> None:
+    with path.open("w", newline="") as file:
+        writer = csv.DictWriter(file, [one.name for one in fields(Row)])
+        writer.writeheader()
+        for row in rows:
+            writer.writerow({**asdict(row), "value": f"{row.value:.6g}"})
+
+
+def read_rows(path: Path) -> list[Row]:
+    with path.open(newline="") as file:
+        return [
+            Row(
+                duty=row["duty"],
+                figure=row["figure"],
+                sized_by=row["sized_by"],
+                kind=row["kind"],
+                size=int(row["size"]),
+                seed=int(row["seed"]),
+                fitted=row["fitted"] == "True",
+                value=float(row["value"]),
+            )
+            for row in csv.DictReader(file)
+        ]
--- a/cleatyoke/fleet/sharing.py
+++ b/cleatyoke/fleet/sharing.py
@@ -25,6 +25,7 @@
     holds: Holds = field(default_factory=Holds)
     told: dict[Id, Holds] = field(default_factory=dict)  # what each life had when it was last heard
     merged: int = 0  # copies that differed, and were settled by the rule
+    digested: tuple[Holds, int] | None = None  # the holds that were last summed up, and their sum
 
     def hold(self, box: str) -> None:
         self.holds = self.holds.hold(self.me(), box)
@@ -33,7 +34,13 @@
         self.holds = self.holds.release(box)
 
     def digest(self) -> int:
-        """The same where the same is held by the same dots, and as much is known to be released."""
+        """The same where the same is held by the same dots, and as much is known to be released. Every probe
+        asks for it, so that it is summed up once for each change."""
+        if self.digested is None or self.digested[0] is not self.holds:
+            self.digested = self.holds, self.sum_up()
+        return self.digested[1]
+
+    def sum_up(self) -> int:
         clock = sorted((life.name, life.boot, number) for life, number in self.holds.clock.items())
         held = sorted(
             (box, sorted((life.name, life.boot, number) for life, number in dots))
--- a/cleatyoke/node_table.py
+++ b/cleatyoke/node_table.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from cleatyoke.state import Node
 
@@ -88,7 +88,7 @@
     def add(self, node: Node) -> None:
         self.nodes[node.id] = node
         self.cells.setdefault(node.cell, []).append(node)
-        node.split = self.even_split
+        self.divided[node.id] = node  # until the next round
 
     def set_live(self, node: Node, live: bool) -> None:
         node.live = live
@@ -103,9 +103,10 @@
             if node.live and node.id not in listed:
                 self.set_live(node, False)
 
-    def choose_holders(self, is_cold: IsCold) -> Iterable[tuple[Node | None, Node | None]]:
-        """For each changed cell, who held it and who holds it now: of its live nodes the one that started
-        last, and of those that started together the one that was listed last."""
+    def choose_holders(self, is_cold: IsCold) -> list[Node]:
+        """Choose the holder of each changed cell: of its live nodes the one that started last, and of those
+        that started together the one that was listed last. Returns who held them before."""
+        replaced = []
         cells, self.changed = self.changed, {}
         for cell in cells:
             before = self.holder.pop(cell, None)
@@ -118,7 +119,8 @@
                 if is_cold(after):
                     self.active[after.id] = after
             self.resume_or_keep(cell, after, is_cold)
-            yield before, after
+            replaced += [before] if before else []
+        return replaced
 
     def resume_or_keep(self, cell: int, holder: Node | None, is_cold: IsCold) -> None:
         """Rates stand still where nobody holds the cell, the usual one also while its holder is cold."""
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -461,11 +461,10 @@
             if entry.up_since > node.up_since:  # in debt by chance, so that many hosts do not send as one
                 debt, node.up_since = self.rng.random() * self.settings.mean, entry.up_since
                 node.cold = Store(-debt, self.now)
-        for before, holder in self.table.choose_holders(self.is_cold):
-            if before:
-                self.touched.pop(before.id, None)
-            if holder:
-                self.touched[holder.id] = holder
+        for before in self.table.choose_holders(self.is_cold):
+            self.touched.pop(before.id, None)
+        for cell in self.held:  # where nothing is held, a new holder has nothing to choose
+            self.touch(cell)
 
     # Guards of the rules
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from typing import Any
+from unittest import mock
 
 import msgspec
 import pytest
@@ -222,3 +223,15 @@
         one.step(shared.fleet.now, [Asked(1, wire.encode_view("test", stranger, [], bad))])
     assert one.figures.refused == {"copies unreadable": 1, "copies holds without their numbers": 1}
     assert stranger.id in one.lives and shared.held() == {frozenset()}
+
+
+def test_a_digest_is_summed_up_once_for_each_change() -> None:
+    """Every probe asks for it: at 3,200 holds one sum took 20 ms."""
+    sharing = Sharing(lambda: Id("a", 1))
+    sums: list[int] = []
+    real = Sharing.sum_up
+    with mock.patch.object(Sharing, "sum_up", lambda self: (sums.append(1), real(self))[1]):
+        first = [sharing.digest() for _ in range(5)]
+        sharing.hold("s-1")
+        second = [sharing.digest() for _ in range(5)]
+    assert len(sums) == 2 and len(set(first)) == len(set(second)) == 1 and first != second
