Offer a new object to 256 holders that are drawn where there are more, in place of to all

Cause: the capacity measurement put a new object first of all duties that something carries: 1,490 times another request at 25,000 nodes (0.15 s), as every holder was asked what it could take. Ruled out: the queue by itself, which is built of the same nodes. Change: Policy.touch takes all holders up to 256, and beyond that 256 of RandomRounds, others each time.

--- a/cleatyoke/node_table.py
+++ b/cleatyoke/node_table.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
 
+from cleatyoke.load.rounds import RandomRounds
 from cleatyoke.state import Node
 
 IsCold = Callable[[Node], bool]
@@ -69,7 +71,10 @@
 class NodeTable:
     """All nodes, the holder of each cell, and which nodes have something to count in the next round."""
 
-    def __init__(self, classes: int) -> None:
+    MOST_TRIED = 256  # holders that a new object is offered to at one time, drawn where there are more
+
+    def __init__(self, classes: int, seed: int) -> None:
+        self.rounds = RandomRounds(random.Random(seed))  # cells that have a holder
         self.nodes: dict[int, Node] = {}
         self.unlisted: dict[int, Node] = {}  # of these, those that are not live
         self.cells: dict[int, list[Node]] = {}  # cell: all its nodes, in the order in which they were listed
@@ -113,7 +118,10 @@
             live = [node for node in self.cells[cell] if node.live]
             after = max(reversed(live), key=lambda node: node.up_since) if live else None
             self.depth -= before.depth if before else 0.0
-            if after:
+            if not after:
+                self.rounds.discard(cell)
+            else:
+                self.rounds.add(cell)
                 self.holder[cell] = after
                 self.depth += after.depth
                 if is_cold(after):
@@ -122,6 +130,16 @@
             replaced += [before] if before else []
         return replaced
 
+    def holders_to_try(self, cell: int) -> Iterable[Node]:
+        """The holder of the cell. For a new object all holders, or where there are very many some that are
+        drawn, others each time: of a few hundred the best is hardly worse than of all (the power of choices),
+        and a look at all would cost by them."""
+        if cell != -1:
+            return [self.holder[cell]] if cell in self.holder else []
+        if len(self.holder) <= self.MOST_TRIED:
+            return self.holder.values()
+        return [self.holder[self.rounds.take()] for _ in range(self.MOST_TRIED)]
+
     def resume_or_keep(self, cell: int, holder: Node | None, is_cold: IsCold) -> None:
         """Rates stand still where nobody holds the cell, the usual one also while its holder is cold."""
         if holder:
--- a/cleatyoke/rules.py
+++ b/cleatyoke/rules.py
@@ -45,7 +45,7 @@
         self.paces = [0.0] * count  # by class, seconds of service a unit at any node; 0: none is known yet
         self.requests: dict[str, Request] = {}
         self.held: dict[int, list[Request]] = {}  # cell: requests waiting for it; -1: for any
-        self.table = NodeTable(count)
+        self.table = NodeTable(count, settings.seed)
         self.nodes, self.holder = self.table.nodes, self.table.holder
         self.volumes: dict[int, Volume] = {}
         self.lending = Lending()
@@ -130,9 +130,8 @@
                 self.doubtful.append(subject)
 
     def touch(self, cell: int) -> None:
-        """The holder of this cell, or every holder for a new object, may have something new to choose."""
-        nodes = self.holder.values() if cell == -1 else [self.holder[cell]] if cell in self.holder else []
-        self.touched.update({node.id: node for node in nodes})
+        """The holder of this cell, or for a new object holders anywhere, may have something new to choose."""
+        self.touched.update({node.id: node for node in self.table.holders_to_try(cell)})
 
     # Class controllers
 
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -303,3 +303,21 @@
         rounds.discard(item)
     with pytest.raises(IndexError):
         rounds.take()
+
+
+def test_a_new_object_costs_alike_at_eight_times_the_nodes_and_every_node_gets_its_turn() -> None:
+    costs = []
+    for size in (FEW, MANY):
+        front = nodes.ListedFront(size)
+        front.serve(0, new=True)
+        costs.append(cost.count_operations(lambda front=front: front.serve(1, new=True)))  # type: ignore[misc]
+    assert costs[1] <= ALIKE * costs[0], costs
+    front = nodes.ListedFront(600)
+    tried: set[int] = set()
+    for _ in range(6):
+        chosen = list(front.policy.table.holders_to_try(-1))
+        assert len({node.id for node in chosen}) >= 200
+        tried |= {node.id for node in chosen}
+    assert len(tried) == 600
+    few = nodes.ListedFront(200)
+    assert len(list(few.policy.table.holders_to_try(-1))) == 200, "all, where there are not so many"
