--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -4,23 +4,31 @@
 
 import asyncio
 import gc
-import logging
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
 from cleatyoke import BEGAN, api, quick  # noqa: F401  quick: before anything imports aiohttp
-from cleatyoke.config import FRONTS, Address, BadConfig, Config, FleetPeers, read_config
+from cleatyoke.config import (
+    FRONTS,
+    Address,
+    BadConfig,
+    Config,
+    DistributionRelays,
+    FleetPeers,
+    read_config,
+)
 from cleatyoke.core import Core
 from cleatyoke.directory import Directory
 from cleatyoke.faults import Faults
 from cleatyoke.figures import Figures
 from cleatyoke.lifecycle import Lifecycle, Notice, Order, Stage, Status
+from cleatyoke.logs import set_up_log
 from cleatyoke.net.boxes import Boxes
 from cleatyoke.net.discovery import Discovery
 from cleatyoke.net.handover import HoldFile, Lives
@@ -31,6 +39,8 @@
 from cleatyoke.net.sockets import NotListening
 
 if TYPE_CHECKING:
+    from cleatyoke.distribution.contents import Settings
+    from cleatyoke.net.distribution import Subscription
     from cleatyoke.net.fleet import FleetView
     from cleatyoke.net.metrics import MetricsListener
     from cleatyoke.net.probes import Probes
@@ -44,20 +54,6 @@
 log = structlog.get_logger()
 
 
-def set_up_log() -> None:
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"]),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-        cache_logger_on_first_use=True,
-    )
-
-
 class FileService:
     """The front for file commands, where it is on; with VRRP it is open while this instance is master."""
 
@@ -129,6 +125,8 @@
         self.probes: Probes | None = None
         self.fleet: FleetView | None = None
         self.startup: Startup | None = None
+        self.subscription: Subscription | None = None
+        self.distributed: Callable[[Any], Any] = lambda own: own  # of the file's settings, those in force
         self.files = FileService()
 
     def asked(self) -> None:
@@ -156,6 +154,9 @@
             lambda: self.discovery.heard.is_set() or self.loop.time() >= patient_until,
         )
         self.discovery.start()
+        if config.distribution:
+            self.subscription = self.subscribe(config.distribution)
+            self.subscription.start()
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if config.fleet:
             self.open_control()  # first, as staff may ask what a start waits for
@@ -218,6 +219,17 @@
         await startup.meet(view)
         await startup.hear_of_boxes(bool(directory.boxes), discovery.heard)
 
+    def subscribe(self, relays: DistributionRelays) -> Subscription:
+        """Distributed configuration, from now on. Serving waits for none of it."""
+        try:
+            from cleatyoke.net.distribution import Subscription  # imported only where it is on
+        except ImportError as error:
+            raise BadConfig(f"distribution: {error}") from error
+        config = self.config
+        return Subscription(
+            relays, config.name, config.seed, self.faults, self.put_in_force, self.discovery.take
+        )
+
     def open_metrics(self, address: Address) -> MetricsListener:
         try:
             from cleatyoke.net.metrics import (
@@ -225,7 +237,10 @@
             )
 
             return MetricsListener(
-                address, self.figures, lambda: (len(self.directory.boxes), self.directory.down())
+                address,
+                self.figures,
+                lambda: (len(self.directory.boxes), self.directory.down()),
+                lambda: self.subscription.gauges() if self.subscription else {},
             )
         except (ImportError, OSError) as error:
             raise BadConfig(f"metrics: {error}") from error
@@ -235,7 +250,10 @@
 
         def figures() -> list[str]:
             lines = self.figures.lines(list(self.config.classes), len(directory.boxes), directory.down())
-            return lines + (self.fleet.figures() if self.fleet else [])
+            return lines + (self.fleet.figures() if self.fleet else []) + config_lines()
+
+        def config_lines() -> list[str]:
+            return self.subscription.lines() if self.subscription else []
 
         def held(box: str, hold: bool) -> tuple[int, int]:
             if self.fleet:
@@ -254,16 +272,29 @@
             shared=held if kept else None,
             replica=(lambda: self.fleet.replica_lines() if self.fleet else []) if kept else None,
             recovery=(lambda: self.startup.lines() if self.startup else []) if kept else None,
+            config=config_lines if self.config.distribution else None,
         )
 
     def reload(self) -> None:
         """SIGHUP: the file is read again, and kept out as a whole where it has a fault of whatever kind."""
+        if why := self.take_settings(self.distributed):
+            log.error("reload_failed", why=why)
+
+    def put_in_force(self, settings: Settings) -> str:
+        """Distributed settings, by the path of SIGHUP: they win over the file's. Returns why not, if so."""
+        chosen = settings.copy()
+        why = self.take_settings(chosen.merged)
+        if not why:
+            self.distributed = chosen.merged
+        return why
+
+    def take_settings(self, chosen: Callable[[Any], Any]) -> str:
+        """Read the file again, with these settings in place of its own. Returns why it was kept out."""
         try:
-            taken = self.config.reload(read_config(os.environ, self.fronts))
+            taken = self.config.reload(read_config(os.environ, self.fronts, chosen))
         except Exception as error:  # a file under way can hold anything: no fault of it ends a front
             self.figures.reconfig_failed += 1
-            log.error("reload_failed", why=str(error) or type(error).__name__)
-            return
+            return str(error) or type(error).__name__
         self.figures.reconfig_ok += 1
         settings = self.config.settings
         log.info(
@@ -282,6 +313,7 @@
         self.discovery.keep_pace(self.config.drain_grace)
         if taken.moved:
             self.discovery.move(self.config.discovery)
+        return ""
 
     def notice(self) -> Notice:
         classes = self.config.settings.classes
@@ -329,6 +361,7 @@
         steps = {
             "discovery": self.discovery.stop,
             "fleet": self.fleet.stop if self.fleet else lambda: None,
+            "distribution": self.subscription.stop if self.subscription else lambda: None,
             "probes": self.probes.stop if self.probes else lambda: None,
             "boxes": self.boxes.close,
             "holds": self.handed.stop,
--- a/cleatyoke/config.py
+++ b/cleatyoke/config.py
@@ -5,7 +5,7 @@
 import json
 import math
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -36,6 +36,10 @@
     host: str
     port: int
 
+    def __str__(self) -> str:
+        """As ``read_address`` takes it."""
+        return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+
 
 @dataclass(slots=True, frozen=True)
 class VolumePath:
@@ -88,6 +92,18 @@
     durable: Path | None = None  # folder of what outlives a loss of power, on a disk that lasts
 
 
+@dataclass(slots=True, frozen=True)
+class DistributionRelays:
+    """Where distributed configuration is asked for (``docs/distribution.md``)."""
+
+    deployment: str
+    relays: list[Address]  # of the own region
+    others: list[Address]
+    nodes: bool  # nodes that drain or are gone are heard of from there too
+    poll: float  # seconds between two polls while there is nothing new
+    rate: float  # bytes a second that polls and replies may take
+
+
 @dataclass(slots=True, frozen=True)
 class Shares:
     """How the descriptors of the process are dealt out. A request in work holds a client's connection and at
@@ -137,6 +153,7 @@
     sftp: SftpFront | None = None
     vrrp: VrrpPeers | None = None
     fleet: FleetPeers | None = None
+    distribution: DistributionRelays | None = None
     metrics: Address | None = None  # where the figures are told to Prometheus
     accept_fd: int | None = None  # a listening socket handed down by the platform, in place of ``listen``
     ops: Address | None = None  # the operators' control address
@@ -167,6 +184,7 @@
             "sftp",
             "vrrp",
             "fleet",
+            "distribution",
             "metrics",
         )
         waiting = [key for key in kept if getattr(self, key) != getattr(new, key)]
@@ -358,8 +376,11 @@
     return {table.text(key): place for place, table in enumerate(tables)}
 
 
-def read_config(environment: Mapping[str, str], fronts: Path = FRONTS) -> Config:
-    """All that the daemon is told. RELAY_* variables win over the same keys of the file."""
+def read_config(
+    environment: Mapping[str, str], fronts: Path = FRONTS, settings: Callable[[Any], Any] = lambda own: own
+) -> Config:
+    """All that the daemon is told. RELAY_* variables win over the same keys of the file. ``settings``: of the
+    file's settings, those that hold, where others were distributed."""
     path = environment.get("RELAY_CONFIG", "")
     if not path:
         raise BadConfig("RELAY_CONFIG: missing")
@@ -371,6 +392,7 @@
         raise BadConfig(f"RELAY_CONFIG: {path} is no JSON: {error}") from error
     if not isinstance(values, dict):
         raise BadConfig(f"RELAY_CONFIG: {path} holds no object")
+    values = {**values, "settings": settings(values.get("settings"))}
     root = Table(values, "")
     seed_text = root.text("seed", "0")
     try:
@@ -381,7 +403,7 @@
     limits = facts.table("PolicyLimits")
     lanes, extra = facts.tables("Lanes"), facts.table("Extra", {})
     classes, plans = names(lanes), names(facts.tables("Contracts"))
-    sftp, vrrp, metrics, fleet = read_fronts(fronts, classes, plans)
+    sftp, vrrp, metrics, fleet, distribution = read_fronts(fronts, classes, plans)
     sockets = root.table("limits", {}).whole("sockets", 2 * SPARE_SOCKETS, 1 << 20, MOST_SOCKETS)
 
     def address(variable: str, key: str) -> Address:
@@ -412,6 +434,7 @@
         sftp=sftp,
         vrrp=vrrp,
         fleet=fleet,
+        distribution=distribution,
         metrics=metrics,
         accept_fd=read_descriptor(environment.get("RELAY_ACCEPT_FD")),
         ops=address("RELAY_OPS", "ops") if environment.get("RELAY_OPS") or "ops" in values else None,
@@ -436,12 +459,12 @@
 
 def read_fronts(
     path: Path, classes: Mapping[str, int], plans: Mapping[str, int]
-) -> tuple[SftpFront | None, VrrpPeers | None, Address | None, FleetPeers | None]:
+) -> tuple[SftpFront | None, VrrpPeers | None, Address | None, FleetPeers | None, DistributionRelays | None]:
     """The fronts file of the deployment; a front whose table is absent or not ``enabled`` is off."""
     try:
         values = tomllib.loads(path.read_text())
     except FileNotFoundError:
-        return None, None, None, None
+        return None, None, None, None, None
     except (OSError, ValueError) as error:
         raise BadConfig(f"{path.name}: {error}") from error
     root = Table(values, f"{path.name}: ")
@@ -449,8 +472,40 @@
     vrrp = read_vrrp(root.table("vrrp", {}))
     metrics = read_metrics(root.table("metrics", {}))
     fleet = read_fleet(root.table("fleet", {}))
+    distribution = read_distribution(root.table("distribution", {}))
     root.nothing_else()
-    return sftp, vrrp, metrics, fleet
+    return sftp, vrrp, metrics, fleet, distribution
+
+
+def read_distribution(table: Table) -> DistributionRelays | None:
+    if not table.flag("enabled"):
+        return None
+    deployment = table.text("deployment")
+    if not 1 <= len(deployment) <= 64:
+        raise table.fail("deployment", f"want 1 to 64 letters, found {deployment!r}")
+    found = {}
+    for key in ("relays", "others"):
+        rows = table.rows(key, [])
+        if not all(isinstance(one, str) for one in rows):
+            raise table.fail(key, "want a list of texts")
+        found[key] = [read_address(one, f"{table.path}{key}") for one in rows]
+    if not found["relays"]:
+        raise table.fail("relays", "want one at the least")
+    poll, rate = table.positive("poll_s", 2.0), table.positive("bytes_s", 2300.0)
+    if not 0.1 <= poll <= 60:
+        raise table.fail("poll_s", f"want 0.1 to 60 seconds, found {poll:g}")
+    if not 500 <= rate <= 1e9:
+        raise table.fail("bytes_s", f"want 500 to 1e9, found {rate:g}")
+    relays = DistributionRelays(
+        deployment=deployment,
+        relays=found["relays"],
+        others=found["others"],
+        nodes=table.flag("nodes"),
+        poll=poll,
+        rate=rate,
+    )
+    table.nothing_else()
+    return relays
 
 
 def read_fleet(table: Table) -> FleetPeers | None:
--- /dev/null
+++ b/cleatyoke/distribution/__main__.py
@@ -0,0 +1,141 @@
+"""``python -m cleatyoke.distribution source | relay``: the processes of control machines."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import click
+import structlog
+
+from cleatyoke.config import Address, BadConfig, read_address
+from cleatyoke.distribution.contents import lane_of
+from cleatyoke.distribution.folder import BadEpoch, Folder, next_epoch
+from cleatyoke.distribution.relay import Relay, Source
+from cleatyoke.faults import Faults
+from cleatyoke.figures import Figures
+from cleatyoke.logs import set_up_log
+from cleatyoke.net.distribution import Poller, PollListener
+
+log = structlog.get_logger()
+
+
+class AddressType(click.ParamType[Address]):
+    name = "address"
+
+    def convert(
+        self, value: str | Address, param: click.Parameter | None, ctx: click.Context | None
+    ) -> Address:
+        if isinstance(value, Address):
+            return value
+        try:
+            return read_address(value, "address")
+        except BadConfig as error:
+            self.fail(str(error), param, ctx)
+
+
+LISTEN = click.option("--listen", type=AddressType(), required=True, help="HOST:PORT to answer on.")
+DEPLOYMENT = click.option("--deployment", required=True, help="Of another one nothing is answered.")
+MOST = click.option("--most", type=click.IntRange(1, 100_000), default=160, show_default=True)
+
+
+@click.group(help=__doc__)
+def commands() -> None:
+    pass
+
+
+@commands.command()
+@LISTEN
+@DEPLOYMENT
+@MOST
+@click.option(
+    "--folder", type=click.Path(path_type=Path), required=True, help="A file KEY.json for each key."
+)
+@click.option("--epoch", type=click.Path(path_type=Path), required=True, help="File of the epoch, on a disk.")
+def source(listen: Address, deployment: str, most: int, folder: Path, epoch: Path) -> None:
+    """Distribute what a folder holds; SIGHUP looks at it again."""
+    if not folder.is_dir():
+        raise click.ClickException(f"--folder: {folder} is no folder")
+    try:
+        number = next_epoch(epoch)
+    except (BadEpoch, OSError) as error:
+        raise click.ClickException(f"--epoch: {error}") from error
+    asyncio.run(run_source(Source(deployment, "source", number, most), Folder(folder), listen))
+
+
+async def run_source(source: Source, folder: Folder, listen: Address) -> None:
+    loop = asyncio.get_running_loop()
+
+    def look() -> None:
+        found = folder.look()
+        for key, value in found.changes.items():
+            source.put(loop.time(), lane_of(key), key, value)
+        for why in found.bad:
+            log.error("change_refused", why=why)
+        log.info("looked", epoch=source.store.epoch, number=source.number, changes=len(found.changes))
+
+    look()
+    listener = PollListener(source)
+    address = await listener.start(listen)
+    loop.add_signal_handler(signal.SIGHUP, look)
+    log.info("ready", role="source", listen=address, epoch=source.store.epoch)
+    await until_asked_to_end()
+    listener.stop()
+
+
+@commands.command()
+@LISTEN
+@DEPLOYMENT
+@MOST
+@click.option("--name", required=True, help="Its own, by which fronts tell their source.")
+@click.option("--upstream", type=AddressType(), multiple=True, required=True, help="Source, or other relays.")
+def relay(listen: Address, deployment: str, most: int, name: str, upstream: Sequence[Address]) -> None:
+    """Answer fronts with what a source, or another relay, has."""
+    tiers = [[str(one) for one in upstream]]
+    asyncio.run(run_relay(Relay(deployment, name, tiers, random.Random(name), most), listen))
+
+
+async def run_relay(relay: Relay, listen: Address) -> None:
+    listener = PollListener(relay)
+    address = await listener.start(listen)
+    poller = Poller(relay, lambda action: None, Faults(Figures()))
+    poller.step()
+    log.info("ready", role="relay", name=relay.name, listen=address)
+    await until_asked_to_end()
+    poller.stop()
+    listener.stop()
+
+
+async def until_asked_to_end() -> None:
+    asked = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, asked.set)
+    await asked.wait()
+
+
+def main(words: Sequence[str] | None = None) -> int:
+    """Returns the exit status; 2, after one line that begins with the option's name, for a bad option."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
+    set_up_log()
+    try:
+        commands.main(words, prog_name="python -m cleatyoke.distribution", standalone_mode=False)
+        return 0
+    except click.MissingParameter as error:
+        click.echo(f"{error.param.opts[-1] if error.param else 'arguments'}: missing", err=True)
+    except click.BadParameter as error:
+        click.echo(f"{error.param.opts[-1] if error.param else 'option'}: {error.message}", err=True)
+    except click.NoSuchOption as error:
+        click.echo(f"{error.option_name}: no such option", err=True)
+    except click.ClickException as error:
+        click.echo(error.message, err=True)
+    except OSError as error:
+        click.echo(f"--listen: {error}", err=True)
+    return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cleatyoke/emulate/__main__.py
+++ b/cleatyoke/emulate/__main__.py
@@ -11,6 +11,7 @@
 import click
 
 from cleatyoke.emulate.capacity.command import capacity
+from cleatyoke.emulate.distribution_measure import distribution
 from cleatyoke.emulate.script import draw, line, play, shrink
 
 
@@ -28,6 +29,7 @@
 
 
 commands.add_command(capacity)
+commands.add_command(distribution)
 
 
 def play_scripts(scripts: list[dict[str, object]], jobs: int, shorten: bool) -> int:
--- /dev/null
+++ b/cleatyoke/emulate/distribution.py
@@ -0,0 +1,233 @@
+"""Source, relays and subscribers by the thousand in virtual time: the real state machines of
+``cleatyoke.distribution``, with drawn delays, lost exchanges, cuts, and relays that are killed and return.
+
+A subscriber is hollow: what it is handed goes nowhere.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from cleatyoke.distribution.records import Lane
+from cleatyoke.distribution.relay import RELAY_TIMING, Relay, Server, Source
+from cleatyoke.distribution.subscriber import Answered, Deliver, SendPoll, Subscriber, Timing
+
+SOURCE = "source"
+SOURCE_REGION = 0
+
+
+@dataclass(slots=True)
+class Links:
+    """Seconds one way, within a region and between two; ``loss``: part of the exchanges that fail."""
+
+    near: tuple[float, float] = (0.001, 0.02)
+    far: tuple[float, float] = (0.04, 0.15)
+    loss: float = 0.01
+
+
+@dataclass(slots=True)
+class Change:
+    lane: Lane
+    made: float
+
+
+@dataclass(slots=True)
+class Measured:
+    """``latencies``: seconds from a change to its being known, for each subscriber that is watched;
+    ``windows``: most bytes of a subscriber in any ``WINDOW`` in turn."""
+
+    latencies: dict[Lane, list[float]] = field(default_factory=lambda: {lane: [] for lane in Lane})
+    deliveries: int = 0
+
+
+class Tree:
+    """``fronts`` subscribers spread evenly over ``regions``, as are the ``relays``. Each asks the relays of
+    its region first."""
+
+    def __init__(
+        self,
+        fronts: int,
+        relays: int,
+        regions: int,
+        seed: int = 1,
+        links: Links | None = None,
+        timing: Timing | None = None,
+        most_subscribers: int = 160,
+        epoch: int = 1,
+    ) -> None:
+        self.rng, self.links, self.now = random.Random(f"tree:{seed}"), links or Links(), 0.0
+        self.seed, self.timing, self.most_subscribers = seed, timing or Timing(), most_subscribers
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.entries = 0
+        self.regions: dict[str, int] = {SOURCE: SOURCE_REGION}
+        self.cut: set[int] = set()  # regions that reach no other
+        self.source: Source | None = Source("emulated", SOURCE, epoch)
+        self.relay_names = [f"relay-{number:02d}" for number in range(relays)]
+        self.regions |= {name: number % regions for number, name in enumerate(self.relay_names)}
+        self.relays: dict[str, Relay] = {}
+        self.subscribers: dict[str, Subscriber] = {}
+        self.changes: dict[int, Change] = {}
+        self.known: dict[str, dict[Lane, int]] = {}
+        self.measured = Measured()
+        for name in self.relay_names:
+            self.start_relay(name)
+        for number in range(fronts):
+            self.start_front(number, number % regions)
+
+    # Who runs
+
+    def start_relay(self, name: str) -> None:
+        """A new life that knows nothing."""
+        rng = random.Random(f"{self.seed}:{name}:{self.now}")
+        relay = Relay("emulated", name, [[SOURCE]], rng, self.most_subscribers, RELAY_TIMING)
+        self.relays[name] = relay
+        self.schedule_relay(name, relay)
+
+    def kill_relay(self, name: str) -> None:
+        self.relays.pop(name, None)
+
+    def start_front(self, number: int, region: int) -> None:
+        name = f"front-{number:04d}"
+        self.regions[name] = region
+        own = [relay for relay in self.relay_names if self.regions[relay] == region]
+        others = [relay for relay in self.relay_names if self.regions[relay] != region]
+        rng = random.Random(f"{self.seed}:{name}:{self.now}")
+        subscriber = Subscriber("emulated", name, [own, others], rng, self.timing)
+        self.subscribers[name] = subscriber
+        self.known[name] = dict.fromkeys(Lane, 0)
+        self.schedule_front(name, subscriber)
+
+    def server(self, name: str) -> Server | None:
+        return self.source if name == SOURCE else self.relays.get(name)
+
+    # Time
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        self.entries += 1
+        heapq.heappush(self.heap, (when, self.entries, act))
+
+    def run(self, until: float) -> None:
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, act = heapq.heappop(self.heap)
+            act()
+        self.now = until
+
+    def schedule_relay(self, name: str, relay: Relay) -> None:
+        due = relay.due()
+        self.at(max(self.now, due), lambda: self.relay_due(name, relay, due))
+
+    def relay_due(self, name: str, relay: Relay, due: float) -> None:
+        if self.relays.get(name) is relay and relay.due() == due:
+            self.step_relay(name, relay)
+
+    def step_relay(self, name: str, relay: Relay, *events: Answered) -> None:
+        for action in relay.step(self.now, events):
+            if isinstance(action, SendPoll):
+                self.exchange(name, action, lambda event: self.answer_relay(name, relay, event))
+        self.schedule_relay(name, relay)
+
+    def answer_relay(self, name: str, relay: Relay, event: Answered) -> None:
+        if self.relays.get(name) is relay:
+            self.step_relay(name, relay, event)
+
+    def schedule_front(self, name: str, front: Subscriber) -> None:
+        due = front.due()
+        self.at(max(self.now, due), lambda: self.front_due(name, front, due))
+
+    def front_due(self, name: str, front: Subscriber, due: float) -> None:
+        if self.subscribers.get(name) is front and front.due() == due:
+            self.step_front(name, front)
+
+    def step_front(self, name: str, front: Subscriber, *events: Answered) -> None:
+        for action in front.step(self.now, events):
+            match action:
+                case SendPoll():
+                    self.exchange(name, action, lambda event: self.answer_front(name, front, event))
+                case Deliver(_, entries):
+                    self.measured.deliveries += len(entries)
+        self.note(name, front)
+        self.schedule_front(name, front)
+
+    def answer_front(self, name: str, front: Subscriber, event: Answered) -> None:
+        if self.subscribers.get(name) is front:
+            self.step_front(name, front, event)
+
+    def exchange(self, sender: str, poll: SendPoll, back: Callable[[Answered], None]) -> None:
+        """A poll on its way, and its answer; lost as a whole, or by a cut."""
+        if self.rng.random() < self.links.loss:
+            return
+        there, again = self.takes(sender, poll.relay), self.takes(sender, poll.relay)
+
+        def arrive() -> None:
+            server = self.server(poll.relay)
+            if server is None or self.parted(sender, poll.relay):
+                return
+            if data := server.answer(self.now, poll.data):
+                self.at(self.now + again, lambda: back(Answered(poll.number, data)))
+
+        self.at(self.now + there, arrive)
+
+    def takes(self, one: str, other: str) -> float:
+        span = self.links.near if self.regions[one] == self.regions[other] else self.links.far
+        return self.rng.uniform(*span)
+
+    def parted(self, one: str, other: str) -> bool:
+        first, second = self.regions[one], self.regions[other]
+        return first != second and (first in self.cut or second in self.cut)
+
+    # Changes
+
+    def put(self, lane: Lane, key: str, value: bytes | None) -> None:
+        assert self.source
+        version = self.source.put(self.now, lane, key, value)
+        self.changes[version.number] = Change(lane, self.now)
+
+    def put_at(self, times: Iterable[float], lane: Lane, keys: Sequence[str], size: int = 200) -> None:
+        """Changes of keys that are drawn, at these times."""
+        for when in times:
+            key = self.rng.choice(keys)
+            self.at(when, lambda key=key: self.put(lane, key, self.rng.randbytes(size)))  # type: ignore[misc]
+
+    def note(self, name: str, front: Subscriber) -> None:
+        """For each change that this front knows from now on, how long that took."""
+        for lane in Lane:
+            before, now = self.known[name][lane], front.lanes[lane].position.number
+            if now <= before:
+                continue
+            self.known[name][lane] = now
+            for number in range(before + 1, now + 1):
+                change = self.changes.get(number)
+                if change and change.lane is lane:
+                    self.measured.latencies[lane].append(self.now - change.made)
+
+    # What holds
+
+    def whole(self, name: str) -> bool:
+        front = self.subscribers[name]
+        return all(known.position.after is None for known in front.lanes.values())
+
+    def settled(self) -> bool:
+        """Whether every subscriber knows just what the source has."""
+        assert self.source
+        for lane in Lane:
+            store = self.source.store.lanes[lane]
+            true = {key: entry.version for key, entry in store.entries.items() if entry.value is not None}
+            for name, front in self.subscribers.items():
+                if not self.whole(name) or front.lanes[lane].versions != true:
+                    return False
+        return True
+
+    def settle(self, within: float, step: float = 0.5) -> float | None:
+        """Seconds until all know what the source has, or None."""
+        began = self.now
+        while self.now < began + within:
+            self.run(self.now + step)
+            if self.settled():
+                return self.now - began
+        return None
+
+    def bytes(self) -> dict[str, int]:
+        return {name: front.bytes for name, front in self.subscribers.items()}
--- /dev/null
+++ b/cleatyoke/emulate/distribution_measure.py
@@ -0,0 +1,358 @@
+"""``python -m cleatyoke.emulate distribution --out docs``: how soon changes are known at all fronts, and at
+what cost, at the size that is planned: hollow subscribers in virtual time, a real relay on loopback.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import csv
+import importlib
+import importlib.util
+import random
+import sys
+import tempfile
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import asdict, dataclass, fields
+from pathlib import Path
+
+import click
+
+from cleatyoke.distribution.records import FORM, Lane, Poll, Position, decode_reply, encode
+from cleatyoke.distribution.subscriber import Timing
+from cleatyoke.emulate.capacity.command import BadOption, checked_folder
+from cleatyoke.emulate.capacity.page import BEGIN, END, short, table
+from cleatyoke.emulate.capacity.plan import HOUR, PLAN
+from cleatyoke.emulate.capacity.processes import Used
+from cleatyoke.emulate.distribution import Measured, Tree
+from cleatyoke.net.framing import read_message, write_message
+from cleatyoke.standin.play import ROOT
+
+SETTINGS, NODES = 1000, 200  # keys that are known before a measurement begins
+VALUE = 200  # bytes of a changed value
+AMPLE = Timing(rate=1e9, burst=1e9)  # to begin with a whole copy
+WINDOW = 13.0
+RELAY_SECONDS = 10.0
+PAGE, TABLE = "distribution.md", "distribution.csv"
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """Latencies in seconds over all changes and fronts; bytes of a front: a second in the mean, and the most
+    that one took in any of the windows of 13 s, exchange overhead included."""
+
+    what: str
+    lane: str
+    changes: int
+    p50: float
+    p99: float
+    worst: float
+    mean_bytes: float
+    worst_window: float
+
+
+def settled_tree(fronts: int, relays: int, regions: int, seed: int) -> Tree:
+    tree = Tree(fronts, relays, regions, seed, timing=AMPLE)
+    for number in range(SETTINGS):
+        tree.put(Lane.SETTINGS, f"db/{number:05d}", tree.rng.randbytes(VALUE))
+    for number in range(NODES):
+        tree.put(Lane.NODES, f"nodes/{number:05d}", tree.rng.randbytes(150))
+    if tree.settle(120.0, 1.0) is None:
+        raise RuntimeError("the fronts have no whole copy within 120 s")
+    for front in tree.subscribers.values():
+        front.timing = Timing()
+        front.level = 0.0
+    tree.run(tree.now + 5.0)
+    tree.measured = Measured()
+    return tree
+
+
+def share(values: Sequence[float], part: float) -> float:
+    return sorted(values)[min(len(values) - 1, int(len(values) * part))]
+
+
+def watch(tree: Tree, seconds: float) -> tuple[float, float]:
+    """Lets time pass; a front's bytes a second in the mean, and the most of one in a window."""
+    began, first, most = tree.now, tree.bytes(), 0
+    before = first
+    while tree.now < began + seconds:
+        tree.run(min(tree.now + WINDOW, began + seconds))
+        now = tree.bytes()
+        most = max(most, *(now[name] - before[name] for name in now))
+        before = now
+    grew = [before[name] - first[name] for name in first]
+    return sum(grew) / len(grew) / seconds, most
+
+
+def outcomes(what: str, tree: Tree, seconds: float) -> Iterator[Outcome]:
+    mean, most = watch(tree, seconds)
+    for lane in Lane:
+        found = tree.measured.latencies[lane]
+        if found:
+            changes = len(found) // len(tree.subscribers)
+            yield Outcome(
+                *(what, lane.name.lower(), changes, share(found, 0.5), share(found, 0.99)),
+                *(max(found), mean, most),
+            )
+
+
+def usual_and_burst(fronts: int, relays: int, regions: int, seed: int) -> list[Outcome]:
+    tree = settled_tree(fronts, relays, regions, seed)
+    keys = [f"db/{number:05d}" for number in range(SETTINGS)]
+    nodes = [f"nodes/{number:05d}" for number in range(NODES)]
+    gaps = [tree.now + number / PLAN.config_rate for number in range(50)]
+    tree.put_at(gaps, Lane.SETTINGS, keys, VALUE)
+    found = list(outcomes("mean rate", tree, 98.0))
+    tree.run(tree.now + 10)
+    tree.measured = Measured()
+    step = PLAN.burst_seconds / PLAN.burst_changes
+    tree.put_at(
+        [tree.now + step * number for number in range(PLAN.burst_changes)], Lane.SETTINGS, keys, VALUE
+    )
+    tree.put_at([tree.now + 10.0 * number for number in range(6)], Lane.NODES, nodes, 150)
+    found += outcomes("burst, 500 in 60 s", tree, 91.0)
+    tree.run(tree.now + 10)
+    tree.measured = Measured()
+    lost = tree.relay_names[:3]
+    for name in lost:
+        tree.kill_relay(name)
+    tree.put_at([tree.now + 2.0 * number for number in range(10)], Lane.NODES, nodes, 150)
+    found += outcomes("changes of primary, 3 of the relays just killed", tree, 39.0)
+    return found
+
+
+def return_after(fronts: int, relays: int, regions: int, seed: int) -> tuple[float, float, float]:
+    """A region is cut off for an hour: bytes a front and second in it afterwards, seconds until all know all,
+    and changes that were missed. Fewer fronts show as much, as each returns by itself."""
+    tree = settled_tree(fronts, relays, regions, seed)
+    keys = [f"db/{number:05d}" for number in range(SETTINGS)]
+    missed = round(PLAN.config_rate * HOUR)
+    tree.cut = {regions - 1}
+    tree.put_at([tree.now + HOUR * number / missed for number in range(missed)], Lane.SETTINGS, keys, VALUE)
+    tree.run(tree.now + HOUR)
+    behind = [name for name in tree.subscribers if tree.regions[name] == regions - 1]
+    before = tree.bytes()
+    tree.cut = set()
+    took = tree.settle(900.0, 1.0) or 900.0
+    after = tree.bytes()
+    return sum(after[name] - before[name] for name in behind) / len(behind), took, float(missed)
+
+
+@dataclass(slots=True, frozen=True)
+class RelayCosts:
+    """Of a real relay process with so many subscribers on loopback, at the usual interval of polls."""
+
+    subscribers: int
+    cpu: float  # of a core
+    resident: int
+    bytes_s: float
+
+
+async def relay_costs(subscribers: int, seed: int) -> RelayCosts:
+    """Subscribers here are polls alone: each asks from where all is known."""
+    words = [sys.executable, "-m", "cleatyoke.distribution"]
+    with contextlib.ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        (folder / "settings").mkdir()
+        for number in range(SETTINGS):
+            (folder / "settings" / f"{number:05d}.json").write_text(f'"{"x" * VALUE}"')
+        source = await control(words, "source", ["--folder", str(folder), "--epoch", str(folder / "epoch")])
+        relay = await control(
+            words, "relay", ["--name", "r", "--upstream", f"127.0.0.1:{source[1]}", "--most", "500"]
+        )
+        try:
+            return await poll_relay(relay[0].pid, relay[1], subscribers, seed)
+        finally:
+            for process, _ in (source, relay):
+                process.kill()
+                await process.wait()
+
+
+async def control(words: list[str], role: str, options: list[str]) -> tuple[asyncio.subprocess.Process, int]:
+    process = await asyncio.create_subprocess_exec(
+        *(*words, role, "--listen", "127.0.0.1:0", "--deployment", "d", *options),
+        cwd=ROOT,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    assert process.stderr
+    while line := await process.stderr.readline():
+        if b"event='ready'" in line:
+            return process, int(line.split(b"port=")[1].split(b")")[0])
+    raise RuntimeError(f"the {role} ended before it was ready")
+
+
+async def poll_relay(pid: int, port: int, subscribers: int, seed: int) -> RelayCosts:
+    loop, rng, size = asyncio.get_running_loop(), random.Random(seed), 0
+    epoch, positions = await whole_position(port)
+    used, began = Used.of(pid), loop.time()
+    end = began + RELAY_SECONDS
+
+    async def subscriber(number: int) -> None:
+        nonlocal size
+        await asyncio.sleep(rng.random() * Timing().poll)
+        while loop.time() < end:
+            poll = Poll("d", FORM, f"f{number}", 1, epoch, positions, 3000)
+            size += await exchange(port, encode(poll))
+            await asyncio.sleep(Timing().poll * rng.uniform(0.75, 1.25))
+
+    await asyncio.gather(*(subscriber(number) for number in range(subscribers)))
+    after, took = Used.of(pid), loop.time() - began
+    return RelayCosts(subscribers, (after.cpu - used.cpu) / took, after.resident, size / took)
+
+
+async def exchange(port: int, data: bytes) -> int:
+    """Bytes there and back."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        await write_message(writer, data)
+        return len(data) + len(await read_message(reader, 1 << 20))
+    finally:
+        writer.transport.abort()
+
+
+async def whole_position(port: int) -> tuple[int, list[Position]]:
+    """From where all is known."""
+    for _ in range(100):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        await write_message(writer, encode(Poll("d", FORM, "f", 1, 0, [Position(), Position()], 1 << 19)))
+        reply = decode_reply("d", await read_message(reader, 1 << 20))
+        writer.transport.abort()
+        if reply.parts:
+            return reply.epoch, [Position(part.last, None) for part in reply.parts]
+        await asyncio.sleep(0.1)
+    raise RuntimeError("the relay has no whole copy")
+
+
+@dataclass(slots=True, frozen=True)
+class Baseline:
+    """Bytes of a front: for its return after an hour's cut, and a second at the mean rate of changes."""
+
+    name: str
+    returned: float
+    usual: float
+    kind: str
+
+
+def baselines(missed: int, state: int) -> list[Baseline]:
+    """Other ways to tell of changes, on paper, with the bytes of an entry as they are on the wire."""
+    entry = VALUE + 40.0
+    return [
+        Baseline("whole copy on each change", float(state), PLAN.config_rate * state, "paper"),
+        Baseline("changes without coalescing", missed * entry, PLAN.config_rate * entry, "paper"),
+    ]
+
+
+def outcome_table(found: Sequence[Outcome]) -> str:
+    rows = [
+        [
+            one.what,
+            one.lane,
+            str(one.changes),
+            f"{one.p50:.1f}",
+            f"{one.p99:.1f}",
+            f"{one.worst:.1f}",
+            short(one.mean_bytes),
+            f"{short(one.worst_window)} ({one.worst_window / (WINDOW * PLAN.bytes_s):.2f})",
+        ]
+        for one in found
+    ]
+    head = ("situation", "lane", "changes", "p50 s", "p99 s", "worst s", "bytes a front and second, mean")
+    return table((*head, "most in 13 s (of 39 KB)"), rows)
+
+
+def relay_table(found: Sequence[RelayCosts]) -> str:
+    rows = [
+        [str(one.subscribers), f"{one.cpu:.3f}", f"{one.resident / 1e6:.0f}", short(one.bytes_s)]
+        for one in found
+    ]
+    return table(("subscribers", "processor, of a core", "resident MB", "bytes/s"), rows)
+
+
+def return_table(found: Sequence[Baseline], took: float) -> str:
+    rows = [
+        [one.name, short(one.returned), f"{one.returned / PLAN.bytes_s:.0f}", short(one.usual), one.kind]
+        for one in found
+    ]
+    head = ("way", "bytes of a front's return after an hour's cut", "s of it at 3 KB/s")
+    text = table((*head, "bytes a second at the mean rate", "figure"), rows)
+    return f"{text}\n\nAll fronts of the region had all {took:.0f} s after the cut, in virtual time."
+
+
+def fill(text: str, name: str, made: str) -> str:
+    begin, end = BEGIN.format(name), END.format(name)
+    before, found, rest = text.partition(begin)
+    _, closed, after = rest.partition(end)
+    if not found or not closed:
+        raise ValueError(f"the page has no place for the table {name}")
+    return f"{before}{begin}\n\n{made}\n\n{end}{after}"
+
+
+def plot(found: Sequence[Outcome], out: Path) -> None:
+    matplotlib = importlib.import_module("matplotlib")
+    matplotlib.use("svg")
+    matplotlib.rcParams.update({"svg.hashsalt": "distribution", "svg.fonttype": "none"})
+    pyplot = importlib.import_module("matplotlib.pyplot")
+    picture, axes = pyplot.subplots(figsize=(7, 3.5))
+    names = [f"{one.what}\n{one.lane}" for one in found]
+    for figure, color in (("worst", "#ccd"), ("p99", "#99b"), ("p50", "#446")):
+        axes.barh(names, [getattr(one, figure) for one in found], color=color, label=figure)
+    axes.axvline(PLAN.config_within, color="grey", linewidth=0.8)
+    axes.set(xlabel="seconds from a change until a front knows it", title="3,100 hollow fronts, virtual time")
+    axes.legend()
+    picture.tight_layout()
+    picture.savefig(out / "distribution-latency.svg", metadata={"Date": None})
+    pyplot.close(picture)
+
+
+@click.command("distribution")
+@click.option("--fronts", type=click.IntRange(1, 100_000), default=PLAN.fronts, show_default=True)
+@click.option("--relays", type=click.IntRange(1, 10_000), default=PLAN.control_machines, show_default=True)
+@click.option("--regions", type=click.IntRange(1, 1000), default=PLAN.regions, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder of the page.")
+def distribution(fronts: int, relays: int, regions: int, seed: int, out: Path) -> None:
+    """Measure the distribution of configuration, and make its tables and plot again."""
+    checked_folder(out)
+    if relays < regions:
+        raise BadOption(f"--relays: want one a region at the least, found {relays}")
+    steps: list[tuple[str, Callable[[], object]]] = [
+        ("in virtual time", lambda: usual_and_burst(fronts, relays, regions, seed)),
+        ("a return", lambda: return_after(min(fronts, 90), min(relays, 9), 3, seed)),
+        ("relays", lambda: [asyncio.run(relay_costs(count, seed)) for count in (103, 155)]),
+    ]
+    done: list[object] = []
+    with click.progressbar(
+        steps, label="measuring", item_show_func=lambda step: step[0] if step else ""
+    ) as bar:
+        for _, step in bar:
+            done.append(step())
+    write(done, out)
+
+
+def write(done: Sequence[object], out: Path) -> None:
+    found, returned, relays = done
+    assert isinstance(found, list) and isinstance(returned, tuple) and isinstance(relays, list)
+    cost, took, missed = returned
+    state = SETTINGS * (VALUE + 40) + NODES * 190
+    built = Baseline(f"as built, {missed:.0f} changes missed", cost, found[0].mean_bytes, "hollow")
+    sums = [built, *baselines(int(missed), state)]
+    with (out / TABLE).open("w", newline="") as file:
+        writer = csv.DictWriter(file, [one.name for one in fields(Outcome)])
+        writer.writeheader()
+        writer.writerows(asdict(one) for one in found)
+    path = out / PAGE
+    text = path.read_text() if path.is_file() else blank_page()
+    for name, made in (
+        ("latency", outcome_table(found)),
+        ("relay", relay_table(relays)),
+        ("return", return_table(sums, took)),
+    ):
+        text = fill(text, name, made)
+    path.write_text(text)
+    if importlib.util.find_spec("matplotlib"):
+        plot(found, out)
+
+
+def blank_page() -> str:
+    places = [f"{BEGIN.format(name)}\n{END.format(name)}\n" for name in ("latency", "relay", "return")]
+    return "# Distribution\n\n" + "\n".join(places)
--- /dev/null
+++ b/cleatyoke/logs.py
@@ -0,0 +1,23 @@
+"""The form of the log, the same for every process: one line an event, ``key=value``, on standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+import structlog
+
+
+def set_up_log() -> None:
+    """Once, before the first line."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
--- /dev/null
+++ b/cleatyoke/net/distribution.py
@@ -0,0 +1,244 @@
+"""The distribution on the wire: polls by streams of one message each way, on the framing of the fleet's.
+
+Thin: what is asked, taken and answered is decided in ``cleatyoke.distribution``. Imported only where it is
+on. A front opens streams and listens nowhere; ``PollListener`` is for the control machines' own processes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import structlog
+
+from cleatyoke.api import NodeState
+from cleatyoke.config import Address, DistributionRelays, read_address
+from cleatyoke.directory import Listing
+from cleatyoke.distribution.contents import Settings, listed_nodes
+from cleatyoke.distribution.records import MOST_MESSAGE, Entry, Lane
+from cleatyoke.distribution.status import Status
+from cleatyoke.distribution.subscriber import (
+    Action,
+    Answered,
+    Deliver,
+    Moved,
+    Restarted,
+    SendPoll,
+    Subscriber,
+    Timing,
+)
+from cleatyoke.faults import Faults, keep_up
+from cleatyoke.net.framing import read_message, write_message
+from cleatyoke.net.listings import read_instance
+from cleatyoke.net.messages import BadMessage
+
+AGAIN = 1.0  # seconds until the duty is taken up again after a fault of our own
+MOST_STREAMS = 512  # open at once at a control machine; one more is closed unread
+PATIENCE = 1.0  # seconds for a whole exchange
+ALIKE = 20  # moves to another relay for one that is logged
+log = structlog.get_logger()
+
+
+class Machine(Protocol):
+    """A subscriber, or a relay around one."""
+
+    def step(self, now: float, events: Iterable[Answered] = ()) -> Iterable[Action]: ...
+
+    def due(self) -> float: ...
+
+
+class Poller:
+    """Drives a machine: a timer, and one stream for each poll. ``act`` is given its other actions."""
+
+    def __init__(self, machine: Machine, act: Callable[[Action], None], faults: Faults) -> None:
+        self.machine, self.act, self.faults = machine, act, faults
+        self.loop = asyncio.get_running_loop()
+        self.timer: asyncio.TimerHandle | None = None
+        self.exchanges: set[asyncio.Task[None]] = set()
+        self.moves = 0
+        self.stopped = False
+
+    def step(self, *events: Answered) -> None:
+        if self.stopped:
+            return
+        after = AGAIN
+        try:
+            for action in self.machine.step(self.loop.time(), events):
+                self.take(action)
+            after = max(0.0, self.machine.due() - self.loop.time())
+        except Exception as error:  # guards the timer, which a fault would never set again
+            self.faults.told("distribution_fault", error)
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(after, self.step)
+
+    def take(self, action: Action) -> None:
+        match action:
+            case SendPoll():
+                task = asyncio.create_task(self.exchange(action))
+                self.exchanges.add(task)
+                task.add_done_callback(self.exchanges.discard)
+            case Moved(relay, why):
+                if self.moves % ALIKE == 0:
+                    log.info("config_relay_changed", relay=relay, why=why, moves=self.moves + 1)
+                self.moves += 1
+            case _:
+                self.act(action)
+
+    async def exchange(self, poll: SendPoll) -> None:
+        """One message each way; whatever fails is no answer."""
+        data, writer = None, None
+        try:
+            address = read_address(poll.relay, "relay")
+            async with asyncio.timeout(PATIENCE):
+                reader, writer = await asyncio.open_connection(address.host, address.port)
+                await write_message(writer, poll.data)
+                data = await read_message(reader, MOST_MESSAGE)
+        except (OSError, EOFError, ValueError, TimeoutError):
+            data = None
+        finally:
+            if writer:
+                writer.transport.abort()
+        self.step(Answered(poll.number, data))
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.timer:
+            self.timer.cancel()
+        for task in self.exchanges:
+            task.cancel()
+
+
+class Subscription:
+    """A front's part. ``settings`` puts settings in force by the path of SIGHUP and returns why not, or
+    nothing; ``nodes`` is given nodes that drain or are gone. Serving waits for none of it."""
+
+    def __init__(
+        self,
+        relays: DistributionRelays,
+        name: str,
+        seed: int,
+        faults: Faults,
+        settings: Callable[[Settings], str],
+        nodes: Callable[[Listing], None],
+    ) -> None:
+        tiers = [[str(one) for one in tier] for tier in (relays.relays, relays.others) if tier]
+        timing = Timing(poll=relays.poll, rate=relays.rate)
+        rng = random.Random(f"distribution:{seed}:{name}")
+        self.subscriber = Subscriber(relays.deployment, name, tiers, rng, timing)
+        self.relays, self.status = relays, Status(self.subscriber)
+        self.put_in_force, self.tell_nodes = settings, nodes
+        self.settings = Settings()
+        self.poller = Poller(self.subscriber, self.act, faults)
+        self.faults = faults
+        self.watch: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self.poller.step()
+        self.watch = asyncio.create_task(keep_up(self.faults, "config_age", self.watch_age, lambda: AGAIN))
+
+    def stop(self) -> None:
+        self.poller.stop()
+        if self.watch:
+            self.watch.cancel()
+
+    def lines(self) -> list[str]:
+        """For ``show-config``, from the operators' thread too."""
+        return self.status.lines(self.poller.loop.time())
+
+    def gauges(self) -> dict[str, float]:
+        return self.status.gauges(self.poller.loop.time())
+
+    async def watch_age(self) -> None:
+        while True:
+            await asyncio.sleep(AGAIN)
+            now = self.poller.loop.time()
+            if (old := self.status.became_old(now)) is not None:
+                level = log.warning if old else log.info
+                in_force = self.status.in_force
+                level(
+                    "config_old" if old else "config_fresh",
+                    epoch=in_force.epoch,
+                    number=in_force.number,
+                    source=self.subscriber.source,
+                )
+
+    def act(self, action: Action) -> None:
+        match action:
+            case Deliver(Lane.SETTINGS, entries):
+                self.take_settings(entries)
+            case Deliver(Lane.NODES, entries) if self.relays.nodes:
+                self.take_nodes(entries)
+            case Restarted(lane, epoch):
+                log.info("config_restarted", lane=lane.name.lower(), epoch=epoch)
+
+    def take_settings(self, entries: list[Entry]) -> None:
+        """The newest settings as a whole; those that are not valid are refused by name and change nothing."""
+        if not self.settings.take(entries):
+            return
+        version = self.settings.version
+        if why := self.put_in_force(self.settings):
+            self.status.turned_down(version, why)
+            log.error("config_refused", epoch=version.epoch, number=version.number, why=why)
+            return
+        self.status.took(version)
+        log.info("config_in_force", epoch=version.epoch, number=version.number, source=self.subscriber.source)
+
+    def take_nodes(self, entries: list[Entry]) -> None:
+        """Word from here only restricts: whom to send to comes from discovery alone."""
+        values, bad = listed_nodes(entries)
+        found = []
+        for value in values:
+            try:
+                found.append(read_instance(value))
+            except BadMessage as error:
+                bad.append(str(error))
+        if bad:
+            log.warning("config_nodes_refused", why=bad[0], count=len(bad))
+        if leaving := [box for box in found if box.state is not NodeState.LIVE]:
+            self.tell_nodes(Listing(0, False, leaving))
+
+
+class Answerer(Protocol):
+    def answer(self, now: float, data: bytes) -> bytes | None: ...
+
+
+class PollListener:
+    """Answers polls on an address of its own, at a control machine."""
+
+    def __init__(self, answerer: Answerer) -> None:
+        self.answerer = answerer
+        self.loop = asyncio.get_running_loop()
+        self.server: asyncio.Server | None = None
+        self.open = 0
+        self.dropped = 0
+
+    async def start(self, listen: Address) -> Address:
+        """Returns where it listens. Raises ``OSError``."""
+        self.server = await asyncio.start_server(self.converse, listen.host, listen.port, backlog=512)
+        return Address(*self.server.sockets[0].getsockname()[:2])
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open += 1
+        try:
+            if self.open > MOST_STREAMS:
+                raise OSError("too many streams")
+            async with asyncio.timeout(PATIENCE):
+                data = await read_message(reader, MOST_MESSAGE)
+                if reply := self.answerer.answer(self.loop.time(), data):
+                    await write_message(writer, reply)
+                    writer.close()
+                    await writer.wait_closed()
+        except (OSError, EOFError, ValueError, TimeoutError):
+            self.dropped += 1
+        finally:
+            self.open -= 1
+            with contextlib.suppress(OSError):
+                writer.transport.abort()
+
+    def stop(self) -> None:
+        if self.server:
+            self.server.close()
--- a/cleatyoke/net/fleet.py
+++ b/cleatyoke/net/fleet.py
@@ -48,6 +48,7 @@
 from cleatyoke.fleet.rights import Event as RightsEvent
 from cleatyoke.fleet.sharing import Sharing
 from cleatyoke.fleet.wire import MOST_STREAM, State
+from cleatyoke.net.framing import read_message, write_message
 from cleatyoke.net.handover import HoldFile
 
 if TYPE_CHECKING:
@@ -399,8 +400,8 @@
                 reader, writer = await asyncio.open_connection(
                     peer.host, peer.port, local_addr=(self.peers.listen.host, 0)
                 )
-                writer.write(len(data).to_bytes(4, "big") + data)
-                answer = await self.read(reader)
+                await write_message(writer, data)
+                answer = await read_message(reader, MOST_STREAM)
         except (BadConfig, OSError, EOFError, ValueError, TimeoutError):
             self.dropped["exchange"] += 1
         finally:
@@ -410,12 +411,6 @@
         if answer is not None and self.members.joined:
             self.answered.set()
 
-    async def read(self, reader: asyncio.StreamReader) -> bytes:
-        size = int.from_bytes(await reader.readexactly(4), "big")
-        if size > MOST_STREAM:
-            raise ValueError("too long")
-        return await reader.readexactly(size)
-
     def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.transport is None or len(self.streams) >= MOST_STREAMS:
             self.dropped["early" if self.transport is None else "streams"] += 1
@@ -428,14 +423,13 @@
         token = self.tokens
         try:
             async with asyncio.timeout(PATIENCE):
-                data = await self.read(reader)
+                data = await read_message(reader, MOST_STREAM)
                 reply = self.waiting[token] = self.loop.create_future()
                 self.step(Asked(token, data))
                 if not reply.done():
                     return  # what cannot be read gets no answer
                 answer = reply.result()
-                writer.write(len(answer).to_bytes(4, "big") + answer)
-                await writer.drain()
+                await write_message(writer, answer)
                 writer.close()
                 await writer.wait_closed()
         except (OSError, EOFError, ValueError, TimeoutError):
--- a/cleatyoke/net/metrics.py
+++ b/cleatyoke/net/metrics.py
@@ -27,8 +27,10 @@
 class FiguresCollector:
     """Reads the one record of figures at each scrape and keeps none of its own."""
 
-    def __init__(self, figures: Figures, hosts: Callable[[], tuple[int, int]]) -> None:
-        self.figures, self.hosts = figures, hosts
+    def __init__(
+        self, figures: Figures, hosts: Callable[[], tuple[int, int]], gauges: Callable[[], dict[str, float]]
+    ) -> None:
+        self.figures, self.hosts, self.gauges = figures, hosts, gauges
 
     def collect(self) -> Iterator[Metric]:
         figures = self.figures
@@ -53,14 +55,22 @@
             ("hosts_down", "Listed boxes that nothing is sent to", down),
         ):
             yield GaugeMetricFamily(f"cleatyoke_{name}", text, value=value)
+        for name, gauge in self.gauges().items():
+            yield GaugeMetricFamily(f"cleatyoke_{name}", "Distributed configuration", value=gauge)
 
 
 class MetricsListener:
     """``GET /metrics`` in the text format of Prometheus, on an address of its own; anything else is 404."""
 
-    def __init__(self, address: Address, figures: Figures, hosts: Callable[[], tuple[int, int]]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        figures: Figures,
+        hosts: Callable[[], tuple[int, int]],
+        gauges: Callable[[], dict[str, float]] = dict,
+    ) -> None:
         self.registry = CollectorRegistry(auto_describe=False)
-        self.registry.register(FiguresCollector(figures, hosts))
+        self.registry.register(FiguresCollector(figures, hosts, gauges))
         self.server = web.Server(self.handle)
         self.listener = Listener(address.host, address.port, self.room, self.make)
         self.address = Address(*self.listener.socket.getsockname()[:2])
--- a/cleatyoke/net/ops.py
+++ b/cleatyoke/net/ops.py
@@ -39,6 +39,7 @@
     shared: Callable[[str, bool], tuple[int, int]] | None = None  # fronts that have it
     replica: Callable[[], list[str]] | None = None  # the copies that fronts keep, where they do
     recovery: Callable[[], list[str]] | None = None  # what the start waits for, or waited for
+    config: Callable[[], list[str]] | None = None  # what is in force of distributed configuration
 
 
 def answer(commands: Commands, line: str) -> list[str]:
@@ -47,6 +48,9 @@
     argument = rest.strip()
     if word == "show-stat" and not argument:
         return [*commands.figures(), "EOT"]
+    if word == "show-config" and not argument:
+        show = commands.config
+        return [*show(), "EOT"] if show else ["FAILURE no distributed configuration is asked for"]
     shows = dict(zip(SHOWS, (commands.fleet, commands.replica, commands.recovery)))
     if word in SHOWS and not argument:
         show = shows[word]
