--- a/cleatyoke/emulate/baselines.py
+++ b/cleatyoke/emulate/baselines.py
@@ -8,7 +8,9 @@
 from collections.abc import Sequence
 from typing import Any
 
-from cleatyoke.fleet.members import Heard, Life, Members, Send, Timing
+from cleatyoke.fleet.interface import Heard, Send, Timing
+from cleatyoke.fleet.member_records import Life
+from cleatyoke.fleet.members import Members
 from cleatyoke.fleet.wire import Datagram, Gossip, Refused, Rumour, State, decode_datagram, encode_datagram
 
 MISSED = 4.0  # periods of silence after which a heartbeat's absence is a death; a suspicion of SWIM lasts
@@ -54,11 +56,11 @@
         boot: int,
         address: str,
         seeds: Sequence[str],
-        dice: random.Random,
+        rng: random.Random,
         timing: Timing | None = None,
         alone: bool = False,
     ) -> None:
-        super().__init__(deployment, name, boot, address, seeds, dice, timing, alone)
+        super().__init__(deployment, name, boot, address, seeds, rng, timing, alone)
         self.everybody = self.other_seeds()
 
     def work(self) -> None:
--- a/cleatyoke/emulate/capacity/command.py
+++ b/cleatyoke/emulate/capacity/command.py
@@ -49,7 +49,7 @@
 @click.option("--seed", "seeds", type=click.IntRange(0), multiple=True, default=(1, 2, 3), show_default=True)
 @click.option("--jobs", type=click.IntRange(1, MOST_JOBS), default=4, show_default=True, help="At once.")
 @click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder of the page.")
-@click.option("--duty", "chosen", multiple=True, help="Only these duties; the page is left as it is.")
+@click.option("--duty", "chosen", multiple=True, help="Only these duties; the others stay as they are in the table.")
 @click.option("--page-only", is_flag=True, help="Make the page of the table that is there.")
 def capacity(
     sizes: tuple[int, ...],
@@ -75,9 +75,11 @@
     todo = measure.plan_jobs(series, seeds, sizes)
     with click.progressbar(length=len(todo), label="measuring") as bar:
         rows = measure.run_jobs(todo, jobs, lambda job: bar.update(1))
+    if chosen and (out / TABLE).is_file():
+        rows += [row for row in results.read_rows(out / TABLE) if row.duty not in chosen]
+        rows.sort(key=lambda row: (row.duty, row.figure, row.size, row.seed))
     results.write_rows(rows, out / TABLE)
-    if not chosen:
-        write_page(results.Results(rows), out)
+    write_page(results.Results(rows), out)
 
 
 def write_page(found: object, out: Path) -> None:
--- a/cleatyoke/emulate/capacity/hollow.py
+++ b/cleatyoke/emulate/capacity/hollow.py
@@ -16,7 +16,8 @@
 from cleatyoke.emulate.capacity.cost import resident_bytes
 from cleatyoke.emulate.fleet import Fleet, Process
 from cleatyoke.emulate.network import Network
-from cleatyoke.fleet.members import Life, Members, mark_of
+from cleatyoke.fleet.member_records import Life, mark_of
+from cleatyoke.fleet.members import Members
 from cleatyoke.fleet.wire import Id, Rumour, State
 
 LOSS = 0.01
--- a/cleatyoke/emulate/keep.py
+++ b/cleatyoke/emulate/durability.py
@@ -40,7 +40,7 @@
     ) -> None:
         super().__init__(size, seed, network=network, make=self.build)
         self.share, self.recall = share, recall
-        self.dice = random.Random(f"keep:{seed}")
+        self.rng = random.Random(f"keep:{seed}")
         self.disks: dict[str, list[Row]] = {}
         self.before: dict[str, list[Row]] = {}  # what stood on a disk some time ago
         self.must: set[str] = set()
@@ -50,7 +50,7 @@
     def build(self, deployment: str, name: str, boot: int, *words: Any, **more: Any) -> Members:
         """A life that begins by its disk, with a clock that may be an hour off."""
         memory = self.recall(self.disks.get(name, []), name)
-        number = next_boot(memory.boot, 7200 + self.now + self.dice.choice((-3600.0, 0.0, 3600.0)))
+        number = next_boot(memory.boot, 7200 + self.now + self.rng.choice((-3600.0, 0.0, 3600.0)))
         members = Members(deployment, name, number, *words, **more)
         store = members.store = self.share(lambda: members.id, holds=memory.holds)
         store.changed = lambda held, released: self.keep(members)
@@ -134,14 +134,14 @@
 
 def play(seed: int, size: int = 6, steps: int = 14, **make: Any) -> list[str]:
     """A script of this number; what broke once all are back and the fleet has settled."""
-    dice = random.Random(f"kept:{seed}:{size}")
-    loss = dice.choice((0.0, 0.2))
+    rng = random.Random(f"kept:{seed}:{size}")
+    loss = rng.choice((0.0, 0.2))
     fleet = Keeping(size, seed, network=Network(seed, loss=loss, doubles=0.05), **make)
     fleet.start_all()
     fleet.run(8.0)
     for _ in range(steps):
-        fleet.act(dice.choice(FAULTS), dice.randrange(size), f"s-{dice.randrange(4)}")
-        fleet.run(fleet.now + dice.choice((0.005, 0.1, 1.0, 6.0)))
+        fleet.act(rng.choice(FAULTS), rng.randrange(size), f"s-{rng.randrange(4)}")
+        fleet.run(fleet.now + rng.choice((0.005, 0.1, 1.0, 6.0)))
     fleet.heal()
     for front in range(size):
         if fleet.address(front) not in fleet.running:
--- a/cleatyoke/emulate/fleet.py
+++ b/cleatyoke/emulate/fleet.py
@@ -10,8 +10,7 @@
 
 from cleatyoke.emulate.network import Network
 from cleatyoke.fleet.conclude import Conclusion, Known, conclude
-from cleatyoke.fleet.members import (
-    HEARD_OF,
+from cleatyoke.fleet.interface import (
     Answered,
     Asked,
     Change,
@@ -19,13 +18,13 @@
     Exchange,
     Heard,
     Leave,
-    Members,
     Reply,
     Send,
     Timing,
     Told,
-    rank,
 )
+from cleatyoke.fleet.member_records import HEARD_OF, rank
+from cleatyoke.fleet.members import Members
 from cleatyoke.fleet.wire import Id, State
 
 PATIENCE = 1.0  # seconds after which an exchange without an answer is given up
@@ -93,14 +92,14 @@
         address = self.address(front)
         self.kill(front)
         self.boots[front] = boot if boot is not None else self.boots.get(front, 0) + 1
-        dice = random.Random(f"{self.seed}:{front}:{self.boots[front]}:{self.now}")
+        rng = random.Random(f"{self.seed}:{front}:{self.boots[front]}:{self.now}")
         members = self.make(
             "test",
             f"front-{front:04d}",
             self.boots[front],
             address,
             self.seeds,
-            dice,
+            rng,
             self.timing,
             alone=True,
         )
--- a/cleatyoke/emulate/market.py
+++ b/cleatyoke/emulate/lending.py
@@ -35,14 +35,14 @@
         return now * self.pace
 
 
-class Market:
+class Lenders:
     """``size`` fronts that share one resource; ``needs`` in parts of a home each."""
 
     def __init__(
         self, size: int, seed: int, network: Network, terms: Terms | None = None, make: Make = Rights
     ) -> None:
         self.size, self.seed, self.network, self.make = size, seed, network, make
-        self.terms, self.dice, self.now = terms or Terms(), random.Random(f"market:{seed}"), 0.0
+        self.terms, self.rng, self.now = terms or Terms(), random.Random(f"market:{seed}"), 0.0
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.entries = self.messages = 0
         self.traders: dict[int, Trader] = {}
@@ -50,7 +50,7 @@
         self.most = 0  # parts that all together could use, at any event
         for front in range(size):
             self.start(front, began=-3600.0)
-            self.at(self.dice.random() * TICK, lambda front=front: self.tick(front))  # type: ignore[misc]
+            self.at(self.rng.random() * TICK, lambda front=front: self.tick(front))  # type: ignore[misc]
 
     def at(self, when: float, act: Callable[[], None]) -> None:
         self.entries += 1
@@ -79,7 +79,7 @@
         """A new life; ``began`` long ago: the fleet has run for a while."""
         boot = self.traders[front].id.boot + 1 if front in self.traders else 1
         drift = self.terms.drift / 2
-        pace = 1 + self.dice.uniform(-drift, drift)
+        pace = 1 + self.rng.uniform(-drift, drift)
         since = (self.now if began is None else began) * pace
         rights = self.make(since, random.Random(f"{self.seed}:{front}:{boot}"), self.terms)
         self.traders[front] = Trader(Id(f"front-{front}", boot), rights, pace)
--- a/cleatyoke/emulate/measure.py
+++ b/cleatyoke/emulate/measure.py
@@ -17,7 +17,8 @@
 from cleatyoke.emulate.baselines import Heartbeats, PlainSwim
 from cleatyoke.emulate.fleet import Fleet
 from cleatyoke.emulate.network import Network
-from cleatyoke.fleet.members import Members, Timing
+from cleatyoke.fleet.interface import Timing
+from cleatyoke.fleet.members import Members
 
 KINDS: dict[str, type[Members]] = {"ours": Members, "plain SWIM": PlainSwim, "heartbeats": Heartbeats}
 SIZES = (10, 50, 200, 1000)
--- a/cleatyoke/emulate/recovery.py
+++ b/cleatyoke/emulate/recovery.py
@@ -19,9 +19,9 @@
 
 from cleatyoke import api
 from cleatyoke.core import Core
-from cleatyoke.emulate import worth
+from cleatyoke.emulate import earnings
+from cleatyoke.emulate.earnings import Wish
 from cleatyoke.emulate.traffic import UNIX, Emulation, core_of, emulate
-from cleatyoke.emulate.worth import Wish
 from cleatyoke.standin.scenario import Scenario, make_scenario
 from cleatyoke.standin.search import play_values
 
@@ -117,7 +117,7 @@
 
 
 def over_time(scenario: Scenario, wishes: Sequence[Wish], began: float) -> list[float]:
-    return worth.over_time(wishes, worth.earned(scenario, wishes), began)
+    return earnings.over_time(wishes, earnings.earned(scenario, wishes), began)
 
 
 def quiet() -> None:
@@ -129,7 +129,9 @@
     quiet()
     scenario, fleet = make_scenario("loss", loss(fronts, seed, kind == "ours")), f"{fronts} in virtual time"
     played = emulate(scenario, at_once if kind == "at once" else core_of)
-    best = worth.over_time(played.wishes, worth.ideal(scenario, played.wishes, played.power), played.began)
+    best = earnings.over_time(
+        played.wishes, earnings.ideal(scenario, played.wishes, played.power), played.began
+    )
     rows = rows_of(fleet, kind, seed, over_time(scenario, played.wishes, played.began), best)
     if kind == "ours":
         rows += rows_of(fleet, "sees all", seed, best, [])
--- a/cleatyoke/emulate/script.py
+++ b/cleatyoke/emulate/script.py
@@ -15,7 +15,8 @@
 
 from cleatyoke.emulate.fleet import Fleet, Make
 from cleatyoke.emulate.network import Network
-from cleatyoke.fleet.members import Members, Timing
+from cleatyoke.fleet.interface import Timing
+from cleatyoke.fleet.members import Members
 
 STOP = 8.0  # seconds that a stopped process stands
 START = 12.0  # seconds until the fleet has one view, and faults begin
@@ -28,14 +29,14 @@
 
 def draw(seed: int, size: int, seconds: float = 30.0, most: int = 12) -> Script:
     """The script of this number; the same in every run."""
-    dice = random.Random(f"script:{seed}:{size}")
+    rng = random.Random(f"script:{seed}:{size}")
     steps: list[list[Any]] = []
-    for _ in range(dice.randint(1, most)):
-        what = dice.choice(FAULTS)
-        few = dice.randint(1, max(1, size // (2 if what == "cut" else 4)))
-        fronts = sorted(dice.sample(range(size), 2 if what == "deaf" else few))
-        steps.append([round(dice.uniform(0, seconds), 2), what, [] if what == "heal" else fronts])
-    loss = dice.choice((0.0, 0.05, 0.15, 0.3))
+    for _ in range(rng.randint(1, most)):
+        what = rng.choice(FAULTS)
+        few = rng.randint(1, max(1, size // (2 if what == "cut" else 4)))
+        fronts = sorted(rng.sample(range(size), 2 if what == "deaf" else few))
+        steps.append([round(rng.uniform(0, seconds), 2), what, [] if what == "heal" else fronts])
+    loss = rng.choice((0.0, 0.05, 0.15, 0.3))
     return {"size": size, "seed": seed, "loss": loss, "steps": sorted(steps, key=lambda step: step[0])}
 
 
--- a/cleatyoke/emulate/traffic.py
+++ b/cleatyoke/emulate/traffic.py
@@ -18,9 +18,9 @@
 from cleatyoke.core import Core, Ending, Failed, Refused, Served
 from cleatyoke.directory import Directory, Instance, Listing
 from cleatyoke.emulate.clock import run
+from cleatyoke.emulate.earnings import Wish
 from cleatyoke.emulate.network import Fault, Network
 from cleatyoke.emulate.view import Ether, VirtualView, address_of
-from cleatyoke.emulate.worth import Wish
 from cleatyoke.faults import Faults
 from cleatyoke.figures import Figures
 from cleatyoke.standin.judge import Asked, Judge
--- a/cleatyoke/emulate/view.py
+++ b/cleatyoke/emulate/view.py
@@ -9,7 +9,7 @@
 from cleatyoke.config import Address, FleetPeers
 from cleatyoke.emulate.network import Network
 from cleatyoke.faults import Faults
-from cleatyoke.fleet.members import Action, Answered, Asked, Exchange, Heard, Reply, Send
+from cleatyoke.fleet.interface import Action, Answered, Asked, Exchange, Heard, Reply, Send
 from cleatyoke.net.fleet import PATIENCE, FleetView, told
 
 
@@ -45,7 +45,7 @@
         """As by SIGKILL: no word, and nothing of it is left."""
         if self.ether.views.get(self.address) is self:
             del self.ether.views[self.address]
-        for bell in (self.bell, self.market.bell, self.alike.bell):
+        for bell in (self.bell, self.lending.bell, self.alike.bell):
             if bell:
                 bell.cancel()
 
--- a/cleatyoke/fleet/members.py
+++ b/cleatyoke/fleet/members.py
@@ -18,10 +18,26 @@
 import random
 import zlib
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import Protocol
 
+from cleatyoke.fleet.interface import (
+    Action,
+    Answered,
+    Asked,
+    Change,
+    Deliver,
+    Event,
+    Exchange,
+    Heard,
+    Leave,
+    Remembered,
+    Reply,
+    Send,
+    Store,
+    Timing,
+    Told,
+)
+from cleatyoke.fleet.member_records import HEARD_OF, Life, RelayedPing, mark_of, rank
+from cleatyoke.fleet.probing import UNHEALTHY, Probing
 from cleatyoke.fleet.wire import (
     Ack,
     Ask,
@@ -42,200 +58,14 @@
     encode_view,
 )
 
-ACCUSERS = 3  # independent ones by which a suspicion is as short as it gets
-UNHEALTHY = 8  # most that local health counts
 HEALS = 3  # of the departed that are probed at once where one has returned
 FAREWELL = 8  # members that hear at once of one that leaves
 QUIET = 4  # periods without news, after which views that differ are exchanged
 SMALL = 20  # members up to which whole views are exchanged at the stated interval; beyond, as much rarer
 NOTED = 32  # rumours at the most that are looked at for one datagram
-HEARD_OF = (State.ALIVE, State.SUSPECT)
-
-
-@dataclass(slots=True, frozen=True)
-class Timing:
-    """Seconds, or times them."""
-
-    period: float = 0.5  # between two probes by one life
-    answer: float = 0.15  # until others are asked to probe too
-    helpers: int = 3  # how many of them
-    gossip: float = 0.1  # between two rounds of rumours, while there are any
-    fanout: int = 3  # to how many they go in a round
-    spread: float = 4.0  # times the logarithm (to 10) of the members: how often a rumour is told
-    suspicion: float = 4.0  # periods, times that logarithm: the least that a suspicion lasts
-    doubt: float = 6.0  # times that, with one accuser alone
-    sync: float = 10.0  # between two exchanges of whole views with somebody
-    departed: float = 1.0  # between two probes of somebody departed
-    join: float = 1.0  # between two tries at a seed
-    away: float = 1.5  # late by so much, a step finds that this process was stopped
-    forget: float = 3600.0  # after which one that left is forgotten
-
-
-# Events
-
-
-@dataclass(slots=True, frozen=True)
-class Heard:
-    """A datagram came."""
-
-    data: bytes
-
-
-@dataclass(slots=True, frozen=True)
-class Asked:
-    """A peer has sent its whole view by stream, and waits for ours; ``token`` names the stream."""
-
-    token: int
-    data: bytes
-
-
-@dataclass(slots=True, frozen=True)
-class Answered:
-    """What came of an ``Exchange``: the peer's view, or None."""
-
-    address: str
-    data: bytes | None
-
-
-@dataclass(slots=True, frozen=True)
-class Leave:
-    """This life is to end in order, and uses nothing more: others may count it as stopped by this word."""
-
-
-@dataclass(slots=True, frozen=True)
-class Remembered:
-    """A boot number of our name that a life before used, as the disk told once this one had begun."""
-
-    boot: int
-
-
-Event = Heard | Asked | Answered | Leave | Remembered
-
-
-# Actions
-
-
-@dataclass(slots=True, frozen=True)
-class Send:
-    address: str
-    data: bytes
-
-
-@dataclass(slots=True, frozen=True)
-class Exchange:
-    """Send this by stream, and bring back what is answered."""
-
-    address: str
-    data: bytes
-
-
-@dataclass(slots=True, frozen=True)
-class Reply:
-    token: int
-    data: bytes
-
-
-class Change(Enum):
-    """What the log is told, once for each."""
-
-    JOINED = "joined"
-    SUSPECTED = "suspected"
-    DIED = "died"
-    RETURNED = "returned"  # it was believed dead, or suspected, and is not
-    LEFT = "left"
-    AWAY = "away"  # this process itself was stopped, and knows it
-    RENAMED = "renamed"  # this life gave way upward to a higher boot number of its name
-
 
-@dataclass(slots=True, frozen=True)
-class Told:
-    change: Change
-    id: Id
-    by: str = ""
 
-
-@dataclass(slots=True, frozen=True)
-class Deliver:
-    """A message that is not for the view: of this life, which sent it under this id."""
-
-    sender: Id
-    body: Want | Grant
-
-
-Action = Send | Exchange | Reply | Told | Deliver
-
-
-@dataclass(slots=True)
-class Life:
-    """A life as this one knows it."""
-
-    rumour: Rumour
-    since: float  # of its state here
-    accusers: set[str] = field(default_factory=set)
-    heard: float = -math.inf  # directly, by a datagram or stream of its own
-    mark: int = 0  # what it adds to the sum of those that are there
-    warned: float = -math.inf  # when it was last told, at once, what is believed of it
-
-
-@dataclass(slots=True)
-class Probe:
-    """A ping of our own that has no answer yet."""
-
-    target: Id
-    ask_at: float
-    over_at: float
-    asked: int = 0  # helpers
-    nacks: int = 0
-
-
-@dataclass(slots=True)
-class Favour:
-    """A ping for somebody else."""
-
-    address: str
-    number: int
-    nack_at: float
-    over_at: float
-
-
-@dataclass(slots=True)
-class Figures:
-    """Counted from the start of this life."""
-
-    datagrams_out: int = 0
-    datagrams_in: int = 0
-    bytes_out: int = 0
-    bytes_in: int = 0
-    suspicions: int = 0  # raised here
-    deaths: int = 0  # declared here
-    refutations: int = 0  # of what was said of this life
-    false_deaths: int = 0  # lives believed dead here that came back under the same boot number
-    refused: dict[str, int] = field(default_factory=dict)  # messages not taken, by reason
-
-
-def rank(rumour: Rumour) -> tuple[bool, int, int]:
-    """Of two rumours of one life the greater holds. Leaving is by its own word and final; else its own count
-    decides, which only it raises, and at one count the graver state."""
-    return rumour.state is State.LEFT, rumour.count, int(rumour.state)
-
-
-def mark_of(rumour: Rumour) -> int:
-    return zlib.crc32(f"{rumour.id.name}:{rumour.id.boot}:{rumour.count}".encode())
-
-
-class Store(Protocol):
-    """What goes along with every exchange of views."""
-
-    def digest(self) -> int: ...
-
-    def dump(self) -> bytes: ...
-
-    def load(self, sender: Id, data: bytes) -> bool: ...
-
-    def lacks(self, life: Id) -> bool: ...
-
-
-class Members:
+class Members(Probing):
     """One life's view of the fleet."""
 
     def __init__(
@@ -245,38 +75,20 @@
         boot: int,
         address: str,
         seeds: Sequence[str],
-        dice: random.Random,
+        rng: random.Random,
         timing: Timing | None = None,
         alone: bool = False,
     ) -> None:
-        self.deployment, self.address, self.alone = deployment, address, alone
+        super().__init__(Id(name, boot), address, rng, timing or Timing())
+        self.deployment, self.alone = deployment, alone
         self.seeds = list(seeds)
-        self.dice, self.timing = dice, timing or Timing()
-        self.id = Id(name, boot)
         self.count = self.settings = 0
-        self.lives: dict[Id, Life] = {}  # of others
-        self.present: dict[Id, None] = {}  # of these, those that are alive or suspected ...
-        self.doubted: dict[Id, Life] = {}  # ... those that are suspected ...
-        self.looks: dict[Id, float] = {}  # ... when each of these is pinged once more, by who suspects it ...
-        self.departed: dict[Id, None] = {}  # ... those believed dead ...
-        self.over: dict[Id, None] = {}  # ... and those that left, the first to leave first
         self.store: Store | None = None
         self.push_until = -math.inf  # until when those are sought that lack what was done here
-        self.sum = 0  # of the marks of those that are there: the same where the same ones are
-        self.news_at = -math.inf  # when something new was heard of anybody
-        self.news: list[Id] = []  # of whom this step has brought something new
-        self.queue: dict[Id, int] = {}  # whose latest rumours are still told, and how often they were
-        self.round: list[Id] = []  # whom to probe in this round, the next one last
-        self.probes: dict[int, Probe] = {}
-        self.favours: dict[int, Favour] = {}
-        self.number = 0
-        self.health = 0  # 0: well; more, and this life doubts itself rather than others
         self.joined = False
         self.leaving = self.left = False
-        self.figures = Figures()
-        self.now = self.due = -math.inf
+        self.due = -math.inf
         self.shift = 0.0  # seconds by which the clock that we are given went back
-        self.next: dict[str, float] = {}
         self.actions: list[Action] = []
 
     # The step
@@ -309,8 +121,8 @@
         due = min(at for name, at in self.next.items() if name not in idle)
         for probe in self.probes.values():
             due = min(due, probe.over_at if probe.asked else probe.ask_at)
-        for favour in self.favours.values():
-            due = min(due, favour.nack_at)
+        for relayed in self.relayed.values():
+            due = min(due, relayed.nack_at)
         for at in itertools.islice(self.looks.values(), 1):
             due = min(due, max(at, self.next["look"]))
         ends = map(self.suspicion_ends, self.doubted.values())
@@ -325,7 +137,7 @@
             ("sync", timing.sync),
             ("departed", timing.departed),
         ):
-            self.next[name] = now + self.dice.random() * every
+            self.next[name] = now + self.rng.random() * every
         self.next["swap"] = self.next["look"] = self.next["push"] = now  # not before
         self.joined = not self.other_seeds()
         self.next["join"] = math.inf if self.joined else now
@@ -334,7 +146,7 @@
         """This process stood still: what it did not hear proves nothing of others, and they may have given it
         up. It says at once, under a new count, that it is there."""
         self.probes.clear()
-        self.favours.clear()
+        self.relayed.clear()
         for life in self.doubted.values():
             life.since += gap
         self.next = {name: max(at, now) for name, at in self.next.items()}
@@ -349,12 +161,12 @@
         now, timing = self.now, self.timing
         for number, probe in list(self.probes.items()):
             self.look_at_probe(number, probe)
-        for number, favour in list(self.favours.items()):
-            if now >= favour.over_at:
-                del self.favours[number]
-            elif now >= favour.nack_at:
-                favour.nack_at = favour.over_at
-                self.send(favour.address, Nack(favour.number))
+        for number, relayed in list(self.relayed.items()):
+            if now >= relayed.over_at:
+                del self.relayed[number]
+            elif now >= relayed.nack_at:
+                relayed.nack_at = relayed.over_at
+                self.send(relayed.address, Nack(relayed.number))
         for id, life in list(self.doubted.items()):
             if now >= self.suspicion_ends(life):
                 self.figures.deaths += 1
@@ -377,9 +189,9 @@
             self.probe_departed()
         if now >= self.next["sync"]:
             every = timing.sync * max(1.0, len(self.lives) / SMALL)
-            self.next["sync"] = now + every * (0.75 + self.dice.random() / 2)
+            self.next["sync"] = now + every * (0.75 + self.rng.random() / 2)
             if there := self.there():
-                self.exchange(self.lives[self.dice.choice(there)].rumour.address)
+                self.exchange(self.lives[self.rng.choice(there)].rumour.address)
         if now >= self.next["gossip"] and (self.queue or self.leaving):
             self.next["gossip"] = now + timing.gossip
             self.gossip()
@@ -393,9 +205,9 @@
         strange = [seed for seed in seeds if seed not in there]
         lone = not self.joined or not there
         every = self.timing.join if lone else self.timing.sync
-        self.next["join"] = self.now + every * (0.5 + self.dice.random())
+        self.next["join"] = self.now + every * (0.5 + self.rng.random())
         if strange or (lone and seeds):
-            self.exchange(self.dice.choice(strange or seeds))
+            self.exchange(self.rng.choice(strange or seeds))
 
     def other_seeds(self) -> list[str]:
         return [seed for seed in self.seeds if seed != self.address]
@@ -414,7 +226,7 @@
         self.queue = {self.id: 0}
         self.next["gossip"] = self.now
         there = self.there()
-        for id in self.dice.sample(there, min(FAREWELL, len(there))):
+        for id in self.rng.sample(there, min(FAREWELL, len(there))):
             self.send(self.lives[id].rumour.address, Gossip())
         self.queue = {self.id: 0}
 
@@ -438,85 +250,6 @@
         known = [self.lives[id].rumour for id in list(self.present) if id in self.lives]
         return sorted({one.id.name for one in known if one.settings not in (0, self.settings)})
 
-    # Probes
-
-    def there(self) -> list[Id]:
-        return list(self.present)
-
-    def probe_next(self) -> None:
-        """One member a period, each once in a round whose order is drawn anew."""
-        while self.round:
-            id = self.round.pop()
-            life = self.lives.get(id)
-            if life and life.rumour.state in HEARD_OF:
-                return self.probe(id)
-        self.round = self.there()
-        self.dice.shuffle(self.round)
-        if self.round:
-            self.probe(self.round.pop())
-
-    def probe(self, id: Id) -> None:
-        self.number += 1
-        slack = 1 + self.health
-        self.probes[self.number] = Probe(
-            id, self.now + self.timing.answer * slack, self.now + self.timing.period * slack
-        )
-        self.send(self.lives[id].rumour.address, Ping(self.number, id, self.there_sum()), id)
-
-    def look_at_probe(self, number: int, probe: Probe) -> None:
-        life = self.lives.get(probe.target)
-        if life is None or life.rumour.state not in HEARD_OF:
-            del self.probes[number]
-        elif self.now >= probe.over_at:
-            del self.probes[number]
-            missed = probe.asked - probe.nacks  # helpers whom we do not hear either: the fault may be ours
-            self.health = min(UNHEALTHY, self.health + (missed if probe.asked else 1))
-            self.figures.suspicions += 1
-            old = life.rumour
-            self.believe(Rumour(old.id, old.address, State.SUSPECT, old.count, old.alone, self.id.name))
-        elif self.now >= probe.ask_at and not probe.asked:
-            self.ask_others(number, probe, life.rumour.address)
-
-    def ask_others(self, number: int, probe: Probe, address: str) -> None:
-        helpers = [id for id in self.there() if id != probe.target]
-        chosen = self.dice.sample(helpers, min(self.timing.helpers, len(helpers)))
-        for id in chosen:
-            self.send(self.lives[id].rumour.address, Ask(number, probe.target, address))
-        probe.asked = len(chosen)
-        if not chosen:
-            probe.ask_at = probe.over_at
-
-    def probe_departed(self) -> None:
-        """One of those believed dead: were it a cut that parted us, it heals by this. Or one that left and
-        has no successor at its address: it may be back, and its seeds be gone. The rate is one life's,
-        however many there are."""
-        there = {self.lives[id].rumour.address for id in self.present} if self.over else set()
-        left = [id for id in self.over if self.lives[id].rumour.address not in {*there, self.address}]
-        choices = [choice for choice in (list(self.departed), left) if choice]
-        if choices:
-            id = self.dice.choice(self.dice.choice(choices))
-            self.number += 1
-            self.send(self.lives[id].rumour.address, Ping(self.number, id, self.there_sum()), id)
-
-    def look_again(self) -> None:
-        """Ping one that has been suspected for a period. Its answer has its count, should its refutation not
-        have come by others, as rumours reach nearly all and not all; no answer accuses nobody."""
-        for id, at in self.looks.items():
-            if self.now >= at:
-                del self.looks[id]
-                self.next["look"] = self.now + self.timing.gossip
-                self.number += 1
-                self.send(self.lives[id].rumour.address, Ping(self.number, id, self.there_sum()), id)
-            return
-
-    def suspicion_ends(self, life: Life) -> float:
-        """Long with one accuser, shorter with each further one (Lifeguard's logarithm)."""
-        timing, size = self.timing, len(self.lives) + 1
-        least = timing.suspicion * timing.period * max(1.0, math.log10(size))
-        most = least * timing.doubt
-        sure = math.log(max(1, len(life.accusers))) / math.log(ACCUSERS)
-        return life.since + max(least, most - (most - least) * sure)
-
     # Messages
 
     def take(self, event: Event) -> None:
@@ -576,7 +309,7 @@
                     self.send(sender.address, Gossip(), sender.id)
             case Ask(number, target, address):
                 self.number += 1
-                self.favours[self.number] = Favour(
+                self.relayed[self.number] = RelayedPing(
                     sender.address, number, self.now + self.timing.answer, self.now + self.timing.period
                 )
                 self.send(address, Ping(self.number, target, self.there_sum()))
@@ -606,7 +339,7 @@
         if news:
             self.news_at = self.now
             there = self.there()
-            for id in self.dice.sample(there, min(self.timing.fanout, len(there))):
+            for id in self.rng.sample(there, min(self.timing.fanout, len(there))):
                 if self.store.lacks(id):
                     self.exchange(self.lives[id].rumour.address)
 
@@ -622,7 +355,7 @@
             self.push_until = -math.inf
             return
         self.next["push"] = self.now + self.timing.answer
-        for id in self.dice.sample(lacking, min(FAREWELL, len(lacking))):
+        for id in self.rng.sample(lacking, min(FAREWELL, len(lacking))):
             self.exchange(self.lives[id].rumour.address)
 
     def there_sum(self) -> int:
@@ -645,14 +378,6 @@
             life.warned = self.now
             self.send(sender.address, Gossip(), sender.id)
 
-    def acked(self, number: int) -> None:
-        if number in self.probes:
-            del self.probes[number]
-            self.health = max(0, self.health - 1)
-        elif number in self.favours:
-            favour = self.favours.pop(number)
-            self.send(favour.address, Ack(favour.number))
-
     def merge(self, sender: Rumour, lives: list[Rumour], first: bool) -> None:
         """A whole view. Who is dead in it may be so for its sender alone, as after a cut: it is suspected
         here, and may refute. ``first``: nobody has told us anything before, so that a higher boot number of
@@ -681,7 +406,7 @@
                 life.accusers.add(rumour.by)
             if rumour.state in HEARD_OF:
                 self.actions.append(Told(Change.JOINED, rumour.id, rumour.by))
-                place = self.dice.randrange(len(self.round) + 1)
+                place = self.rng.randrange(len(self.round) + 1)
                 self.round.insert(place, rumour.id)
             return
         old = life.rumour
@@ -694,38 +419,6 @@
             life.rumour = rumour
             self.keep(life)
 
-    @staticmethod
-    def accuses(life: Life, by: str) -> bool:
-        """Whether this accuser is a further one that counts."""
-        return by not in life.accusers and len(life.accusers) < ACCUSERS
-
-    def keep(self, life: Life) -> None:
-        """Its rumour is new: told on from now, and found by its state."""
-        id, state = life.rumour.id, life.rumour.state
-        self.lives[id] = life
-        self.queue[id] = 0
-        self.news.append(id)
-        self.news_at = self.now
-        mark = mark_of(life.rumour) if state in HEARD_OF else 0
-        self.sum ^= life.mark ^ mark
-        life.mark = mark
-        for kept, states in (
-            (self.present, HEARD_OF),
-            (self.departed, (State.DEAD,)),
-            (self.over, (State.LEFT,)),
-        ):
-            if state in states:
-                kept.setdefault(id)
-            else:
-                kept.pop(id, None)
-        if state is State.SUSPECT:
-            if id not in self.doubted:
-                self.looks[id] = self.now + self.timing.period
-            self.doubted[id] = life
-        else:
-            self.doubted.pop(id, None)
-            self.looks.pop(id, None)
-
     def changed(self, life: Life, old: Rumour, rumour: Rumour) -> None:
         life.rumour = rumour
         self.keep(life)
@@ -744,7 +437,7 @@
         if old.state is State.DEAD and rumour.state in HEARD_OF:
             self.figures.false_deaths += 1
         if rumour.state in HEARD_OF and old.state not in HEARD_OF:
-            self.round.insert(self.dice.randrange(len(self.round) + 1), rumour.id)
+            self.round.insert(self.rng.randrange(len(self.round) + 1), rumour.id)
         self.actions.append(Told(change, rumour.id, rumour.by))
 
     def refute(self, rumour: Rumour) -> None:
@@ -801,7 +494,7 @@
 
     def gossip(self) -> None:
         there = self.there()
-        for id in self.dice.sample(there, min(self.timing.fanout, len(there))):
+        for id in self.rng.sample(there, min(self.timing.fanout, len(there))):
             if not self.queue:
                 break
             self.send(self.lives[id].rumour.address, Gossip())
--- a/cleatyoke/fleet/rights.py
+++ b/cleatyoke/fleet/rights.py
@@ -131,8 +131,8 @@
 class Rights:
     """One life's rights. ``usable`` is to be asked directly before each use."""
 
-    def __init__(self, began: float, dice: random.Random, terms: Terms | None = None) -> None:
-        self.terms, self.dice = terms or Terms(), dice
+    def __init__(self, began: float, rng: random.Random, terms: Terms | None = None) -> None:
+        self.terms, self.rng = terms or Terms(), rng
         self.whole_at = self.terms.lender(began)  # by then all that the life before lent has ended
         self.accounts: dict[str, Account] = {}
         self.peers: tuple[Id, ...] = ()
@@ -296,7 +296,7 @@
         if lack > terms.swing or (lack > 0 and account.need > have):
             lenders = [id for id in self.peers if id not in account.poor and id not in account.debts]
             if lenders:
-                lender = self.dice.choice(lenders)
+                lender = self.rng.choice(lenders)
                 debt = account.debts[lender] = Debt()
                 out.append(self.ask(now, resource, lender, debt, min(lack, HOME - KEPT)))
         return out
--- a/cleatyoke/net/fleet.py
+++ b/cleatyoke/net/fleet.py
@@ -26,8 +26,7 @@
 from cleatyoke.faults import Beat, Faults
 from cleatyoke.fleet.cold import ColdShares
 from cleatyoke.fleet.conclude import Conclusion, Known, conclude
-from cleatyoke.fleet.limits import Limits
-from cleatyoke.fleet.members import (
+from cleatyoke.fleet.interface import (
     Action,
     Answered,
     Asked,
@@ -37,13 +36,14 @@
     Exchange,
     Heard,
     Leave,
-    Members,
     Remembered,
     Reply,
     Send,
     Timing,
     Told,
 )
+from cleatyoke.fleet.limits import Limits
+from cleatyoke.fleet.members import Members
 from cleatyoke.fleet.rights import Came, Need, Part, Peers, Rights
 from cleatyoke.fleet.rights import Event as RightsEvent
 from cleatyoke.fleet.sharing import Sharing
@@ -119,7 +119,7 @@
         self.core: Core | None = None
         self.limits: Limits | None = None
         self.cold: ColdShares | None = None
-        self.market = Beat(faults, "fleet_limits", TRADE, self.look_at_needs)
+        self.lending = Beat(faults, "fleet_limits", TRADE, self.look_at_needs)
         self.transport: asyncio.DatagramTransport | None = None
         self.server: asyncio.Server | None = None
         self.bell: asyncio.TimerHandle | None = None
@@ -193,7 +193,7 @@
             self.step(Leave())
         if self.recall:
             self.recall.stop()
-        for bell in (self.bell, self.claims, self.market, self.alike):
+        for bell in (self.bell, self.claims, self.lending, self.alike):
             if bell:
                 bell.stop() if isinstance(bell, Beat) else bell.cancel()
         for task in (*self.streams, *([self.claiming] if self.claiming else [])):
@@ -245,6 +245,13 @@
             self.step(Remembered(memory.boot))
             self.copies.changed(self.copies.holds.boxes(), frozenset())
 
+    def memory(self, before: Memory) -> Memory:
+        """What outlives a loss of power, in place of what was kept before."""
+        there = sorted(self.members.lives[id].rumour.address for id in self.members.present)
+        return dataclasses.replace(
+            before, holds=self.copies.holds, boot=self.members.id.boot, peers=tuple(there) or before.peers
+        )
+
     async def met(self) -> str:
         """Once a peer's whole view has come, or there is nobody to ask."""
         if not self.members.other_seeds():
@@ -296,7 +303,7 @@
             self.cold = ColdShares(self.rights, lambda: core.policy.settings, name)
         self.rights.part = core.policy.settings.limit_share
         core.before = self.before_step
-        self.market.start()
+        self.lending.start()
 
     def before_step(self, now: float, events: list[api.Event]) -> list[api.Event]:
         """Directly before the policy decides: leases that have ended meanwhile count no longer."""
--- a/cleatyoke/net/recall.py
+++ b/cleatyoke/net/recall.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import time
+from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import structlog
 
@@ -17,20 +18,29 @@
 from cleatyoke.faults import Beat, Faults
 from cleatyoke.fleet.replicas import Holds
 
-if TYPE_CHECKING:
-    from cleatyoke.net.fleet import FleetView
-
 SETTLE = 5.0  # seconds between looks whether the peers to ask at a next start have changed
 log = structlog.get_logger()
 
 
+class Remembering(Protocol):
+    """What is kept on the disk comes from here, and what the disk said goes here."""
+
+    recall: Recall | None
+
+    def remember(self, memory: Memory) -> None: ...
+
+    def memory(self, before: Memory) -> Memory:
+        """What is worth keeping now; ``before``: what was kept last."""
+        ...
+
+
 class Recall:
     """What a life of this front keeps: the holds that its view knows, its boot number, and whom it knew."""
 
     def __init__(self, folder: Path, front: str, faults: Faults) -> None:
         self.loop = asyncio.get_running_loop()
         self.first: asyncio.Future[Recalled] = self.loop.create_future()
-        self.view: FleetView | None = None
+        self.view: Remembering | None = None
         self.last = Memory()
         self.writer = Writer(Disk(folder, front), time.time, self.recalled, self.heard)
         self.beat = Beat(faults, "durable", SETTLE, self.keep)
@@ -65,7 +75,7 @@
         else:
             log.info("durable_well")
 
-    def serve(self, view: FleetView) -> None:
+    def serve(self, view: Remembering) -> None:
         """Give the view what the disk said, now or once it does, and keep what the view knows from then
         on."""
         self.view = view
@@ -77,10 +87,8 @@
     def keep(self) -> None:
         """Write what is new."""
         assert self.view
-        members = self.view.members
-        there = [members.lives[id].rumour.address for id in members.present]
-        peers = tuple(sorted(there)[:MOST_PEERS]) or self.last.peers
-        memory = Memory(self.view.copies.holds, members.id.boot, peers)
+        memory = self.view.memory(self.last)
+        memory = replace(memory, peers=memory.peers[:MOST_PEERS])
         if memory != self.last:
             self.last = memory
             self.writer.write(memory)
--- a/cleatyoke/standin/clients.py
+++ b/cleatyoke/standin/clients.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from cleatyoke.api import Repeat
-from cleatyoke.emulate.worth import Wish
+from cleatyoke.emulate.earnings import Wish
 from cleatyoke.standin.judge import Asked, Form, Judge
 from cleatyoke.standin.load import Drawn, requests
 from cleatyoke.standin.scenario import Scenario
--- a/cleatyoke/standin/draw.py
+++ b/cleatyoke/standin/draw.py
@@ -33,121 +33,121 @@
     """The values of the scenario with this number: a ``ValueError`` for an unknown theme."""
     if theme not in SPAN:
         raise ValueError(f"want one of {', '.join(THEMES)}, found {theme!r}")
-    dice, seconds = random.Random(f"{theme}:{seed}"), SPAN[theme]
-    fronts, boxes = dice.randint(2, 6), dice.randint(1, 20)
+    rng, seconds = random.Random(f"{theme}:{seed}"), SPAN[theme]
+    fronts, boxes = rng.randint(2, 6), rng.randint(1, 20)
     if theme == "trouble":
-        fronts, boxes = dice.randint(2, 8), dice.randint(2, 12)
-    zones = dice.choice((["basement"], ["basement", "second-floor"], ["a", "b", "c"]))
-    hosts = dice.randint(1, min(3, fronts))
-    least = dice.choice((1, 2))
-    largest = dice.choice((least, 4, 8))
-    cold_from, tip_after = round(dice.uniform(0.16, 0.4), 2), dice.choice((1.0, 1.5, 2.0))
+        fronts, boxes = rng.randint(2, 8), rng.randint(2, 12)
+    zones = rng.choice((["basement"], ["basement", "second-floor"], ["a", "b", "c"]))
+    hosts = rng.randint(1, min(3, fronts))
+    least = rng.choice((1, 2))
+    largest = rng.choice((least, 4, 8))
+    cold_from, tip_after = round(rng.uniform(0.16, 0.4), 2), rng.choice((1.0, 1.5, 2.0))
     borne = TIP_MULTIPLE * cold_from * tip_after  # of a second's power
-    power = max(dice.choice(BOX_UNITS), math.ceil(COLD_LARGEST * largest / borne))
+    power = max(rng.choice(BOX_UNITS), math.ceil(COLD_LARGEST * largest / borne))
     cells = boxes * power / ((least + largest) / 2)  # requests a second that the boxes could serve
     values: Values = {
         "fleet": {"fronts": fronts, "boxes": boxes, "zones": zones, "seconds": seconds, "seed": seed},
         "load": {
-            "rate": round(min(MOST_RATE, cells * dice.uniform(0.4, 1.3)), 1),
+            "rate": round(min(MOST_RATE, cells * rng.uniform(0.4, 1.3)), 1),
             "hosts": hosts,
-            "volumes": boxes * dice.randint(2, 5),
-            "hot": round(dice.uniform(0, 0.4), 2),
+            "volumes": boxes * rng.randint(2, 5),
+            "hot": round(rng.uniform(0, 0.4), 2),
             "units": least,
             "units_most": largest,
-            "fresh": dice.choice((0.0, 0.3, 0.8)),
-            "reread": dice.choice((0.0, 0.4)),
+            "fresh": rng.choice((0.0, 0.3, 0.8)),
+            "reread": rng.choice((0.0, 0.4)),
         },
         "box": {
             "units": power,
             "cold_from": cold_from,
             "tip_multiple": TIP_MULTIPLE,
-            "ramp_s": round(dice.uniform(3, 8), 1),
+            "ramp_s": round(rng.uniform(3, 8), 1),
             "tip_after_s": tip_after,
         },
-        "class": classes(dice) if theme == "settings" else [],
-        "plan": plans(dice, hosts, largest, theme == "trouble"),
-        "terms": terms(dice) if theme == "settings" else {},
+        "class": classes(rng) if theme == "settings" else [],
+        "plan": plans(rng, hosts, largest, theme == "trouble"),
+        "terms": terms(rng) if theme == "settings" else {},
         "trouble": [],
     }
-    most = dice.randint(2, 5) if theme == "trouble" else dice.randint(0, 3)
-    values["trouble"] = [trouble(dice, fronts, boxes, seconds) for _ in range(most)]
+    most = rng.randint(2, 5) if theme == "trouble" else rng.randint(0, 3)
+    values["trouble"] = [trouble(rng, fronts, boxes, seconds) for _ in range(most)]
     if theme == "settings":  # repeats are what settings differ in most
-        doubt = {"at": 0.3, "kind": dice.choice(DOUBTS), "lasts_s": seconds, "share": 0.25}
+        doubt = {"at": 0.3, "kind": rng.choice(DOUBTS), "lasts_s": seconds, "share": 0.25}
         values["trouble"].append(doubt)
     return {key: value for key, value in values.items() if value}
 
 
-def classes(dice: random.Random) -> list[Values]:
+def classes(rng: random.Random) -> list[Values]:
     """One to six, of every repeat and scope; the window of a keyed one may be shorter than its deadline."""
     out: list[Values] = []
-    for number in range(dice.randint(1, 6)):
-        aim = round(dice.uniform(0.1, 2.0), 2)
+    for number in range(rng.randint(1, 6)):
+        aim = round(rng.uniform(0.1, 2.0), 2)
         out.append(
             {
                 "name": f"kind-{number}",
-                "share": round(dice.uniform(0.1, 1.0), 2),
+                "share": round(rng.uniform(0.1, 1.0), 2),
                 "aim_s": aim,
-                "deadline_s": round(max(0.2, min(8.0, aim * dice.uniform(1.0, 6.0))), 2),
-                "worth": float(dice.randint(1, 5)),
-                "late": round(dice.uniform(0, 0.3), 2),
-                "repeat": dice.choice(list(REPEATS)) if number else "by_key",
-                "scope": dice.choice([scope.value for scope in api.Scope]),
-                "memory_s": round(dice.uniform(0.3, 6.0), 1),
-                "write": not number or dice.random() < 0.5,
+                "deadline_s": round(max(0.2, min(8.0, aim * rng.uniform(1.0, 6.0))), 2),
+                "worth": float(rng.randint(1, 5)),
+                "late": round(rng.uniform(0, 0.3), 2),
+                "repeat": rng.choice(list(REPEATS)) if number else "by_key",
+                "scope": rng.choice([scope.value for scope in api.Scope]),
+                "memory_s": round(rng.uniform(0.3, 6.0), 1),
+                "write": not number or rng.random() < 0.5,
             }
         )
     return out
 
 
-def plans(dice: random.Random, hosts: int, largest: int, limited: bool) -> list[Values]:
+def plans(rng: random.Random, hosts: int, largest: int, limited: bool) -> list[Values]:
     """One to three. Where there is a limit, its store holds two largest requests for each host at the least
     (brief, This kind of system), and its slack one."""
     out: list[Values] = []
-    for number in range(dice.randint(1, 3)):
-        rate = round(dice.uniform(3, 12), 1)
+    for number in range(rng.randint(1, 3)):
+        rate = round(rng.uniform(3, 12), 1)
         plan: Values = {
             "name": f"plan-{number}",
             "rate": rate,
-            "reserve": round(rate * dice.choice((0.0, 0.5, 0.8, 1.0)), 2),
-            "weight": float(dice.randint(1, 3)),
-            "worth": round(dice.uniform(0.8, 1.5), 2),
+            "reserve": round(rate * rng.choice((0.0, 0.5, 0.8, 1.0)), 2),
+            "weight": float(rng.randint(1, 3)),
+            "worth": round(rng.uniform(0.8, 1.5), 2),
         }
-        if (limited and number == 0) or dice.random() < 0.4:
-            limit = round(rate * dice.uniform(1, 4), 1)
-            burst = max(2.0 * largest * hosts, round(limit * dice.uniform(1, 2), 1))
+        if (limited and number == 0) or rng.random() < 0.4:
+            limit = round(rate * rng.uniform(1, 4), 1)
+            burst = max(2.0 * largest * hosts, round(limit * rng.uniform(1, 2), 1))
             plan |= {"limit": limit, "burst": burst, "slack": max(float(largest), 0.1 * burst)}
         out.append(plan)
     return out
 
 
-def terms(dice: random.Random) -> Values:
-    report = dice.choice(list(REPORTS))
+def terms(rng: random.Random) -> Values:
+    report = rng.choice(list(REPORTS))
     return {
-        "attempts": dice.randint(1, 6),
-        "drain_grace_s": round(dice.uniform(0.2, 2.0), 2),
-        "cancel": dice.random() < 0.8,
+        "attempts": rng.randint(1, 6),
+        "drain_grace_s": round(rng.uniform(0.2, 2.0), 2),
+        "cancel": rng.random() < 0.8,
         "report": report,
-        "probes": report == "probe" or dice.random() < 0.5,
-        "dial_s": dice.choice((0.1, 0.25, 0.5)),
-        "idle_s": dice.choice((2.0, 15.0, 30.0)),
-        "retry_after_s": dice.choice((0.0, 0.5, 5.0)),
+        "probes": report == "probe" or rng.random() < 0.5,
+        "dial_s": rng.choice((0.1, 0.25, 0.5)),
+        "idle_s": rng.choice((2.0, 15.0, 30.0)),
+        "retry_after_s": rng.choice((0.0, 0.5, 5.0)),
     }
 
 
-def trouble(dice: random.Random, fronts: int, boxes: int, seconds: float) -> Values:
-    kind = dice.choice((*BOX_TROUBLES, "replace", "restart", *FRONT_TROUBLES, *LIST_TROUBLES))
+def trouble(rng: random.Random, fronts: int, boxes: int, seconds: float) -> Values:
+    kind = rng.choice((*BOX_TROUBLES, "replace", "restart", *FRONT_TROUBLES, *LIST_TROUBLES))
     count = boxes if kind in BOX_TROUBLES else fronts
-    chosen = sorted(dice.sample(range(count), dice.randint(1, count)))
-    lasts = round(dice.uniform(*STALLS) if kind == "stall" else dice.uniform(0.3, seconds * 0.6), 2)
-    made: Values = {"at": round(dice.uniform(0.2, seconds * 0.8), 2), "kind": kind, "of": chosen}
+    chosen = sorted(rng.sample(range(count), rng.randint(1, count)))
+    lasts = round(rng.uniform(*STALLS) if kind == "stall" else rng.uniform(0.3, seconds * 0.6), 2)
+    made: Values = {"at": round(rng.uniform(0.2, seconds * 0.8), 2), "kind": kind, "of": chosen}
     if kind not in ("roll", "kill", "replace"):
         made["lasts_s"] = lasts
     if kind not in LIST_TROUBLES:
-        made["over_s"] = dice.choice((0.0, round(dice.uniform(0, 3), 2)))
+        made["over_s"] = rng.choice((0.0, round(rng.uniform(0, 3), 2)))
     if kind in (*DOUBTS, "late_lists"):
-        made["share"] = round(dice.uniform(0.05, 0.5) if kind != "late_lists" else dice.uniform(0.3, 3), 2)
+        made["share"] = round(rng.uniform(0.05, 0.5) if kind != "late_lists" else rng.uniform(0.3, 3), 2)
     elif kind == "slow":
-        made["share"] = round(dice.uniform(0.1, 0.5), 2)
+        made["share"] = round(rng.uniform(0.1, 0.5), 2)
     return made
 
 
--- a/cleatyoke/standin/load.py
+++ b/cleatyoke/standin/load.py
@@ -31,18 +31,18 @@
 
 
 def requests(scenario: Scenario) -> Iterator[Drawn]:
-    load, dice, at = scenario.load, random.Random(scenario.seed), 0.0
+    load, rng, at = scenario.load, random.Random(scenario.seed), 0.0
     while True:
         surge = load.surge_at <= at < load.surge_at + load.surge_s
-        at += dice.expovariate(load.rate * (load.surge if surge else 1.0))
+        at += rng.expovariate(load.rate * (load.surge if surge else 1.0))
         if at > scenario.seconds:
             return
-        volume = 0 if dice.random() < load.hot else dice.randrange(load.volumes)
-        place = dice.randrange(load.hosts)
-        if load.skew and volume == 0 and dice.random() < load.skew:
+        volume = 0 if rng.random() < load.hot else rng.randrange(load.volumes)
+        place = rng.randrange(load.hosts)
+        if load.skew and volume == 0 and rng.random() < load.skew:
             place = int(at / load.skew_s) % load.hosts
         front = (volume // scenario.boxes + place) % scenario.fronts
-        trace, block = (f"{dice.getrandbits(64):016x}" for _ in range(2))
-        kind = dice.choices(scenario.kinds, [one.share for one in scenario.kinds])[0]
-        units = dice.randint(load.units, load.units_most)
-        yield Drawn(at, trace, block, volume, front, kind, units, dice.random())
+        trace, block = (f"{rng.getrandbits(64):016x}" for _ in range(2))
+        kind = rng.choices(scenario.kinds, [one.share for one in scenario.kinds])[0]
+        units = rng.randint(load.units, load.units_most)
+        yield Drawn(at, trace, block, volume, front, kind, units, rng.random())
--- a/cleatyoke/standin/play.py
+++ b/cleatyoke/standin/play.py
@@ -16,8 +16,8 @@
 from pathlib import Path
 from typing import Any
 
+from cleatyoke.emulate.earnings import Wish
 from cleatyoke.emulate.network import Fault
-from cleatyoke.emulate.worth import Wish
 from cleatyoke.standin.agent import Agent, Registry
 from cleatyoke.standin.box import Box
 from cleatyoke.standin.clients import Clients, Door
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -17,13 +17,13 @@
 class RoomCase(unittest.TestCase):
     def test_bodies_never_hold_more_than_the_room_and_never_block_each_other_for_good(self) -> None:
         for seed in range(60):
-            dice, room = random.Random(seed), Room(36 * MEGABYTE)
-            left = {n: dice.choice((1000, MEGABYTE, 5 * MEGABYTE, 32 * MEGABYTE)) for n in range(12)}
+            rng, room = random.Random(seed), Room(36 * MEGABYTE)
+            left = {n: rng.choice((1000, MEGABYTE, 5 * MEGABYTE, 32 * MEGABYTE)) for n in range(12)}
             got = dict.fromkeys(left, 0)
             while left:
                 moved = False
-                for body in dice.sample(list(left), len(left)):
-                    wanted = min(left[body], got[body] + dice.randint(1, 8) * WHOLE)
+                for body in rng.sample(list(left), len(left)):
+                    wanted = min(left[body], got[body] + rng.randint(1, 8) * WHOLE)
                     if room.take(body, wanted):
                         moved, got[body] = True, wanted
                         if wanted == left[body]:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -84,7 +84,7 @@
 
 
 def damage(path: Path) -> dict[str, Callable[[], object]]:
-    whole, dice = path.read_bytes(), random.Random(3)
+    whole, rng = path.read_bytes(), random.Random(3)
 
     def flip(place: int) -> bytes:
         return whole[:place] + bytes([whole[place] ^ 0x10]) + whole[place + 1 :]
@@ -97,9 +97,9 @@
         "newer": lambda: sqlite3.connect(path).execute(newer).connection.close(),
         "foreign": lambda: path.write_bytes(whole[:68] + b"abcd" + whole[72:]),
     }
-    for cut in (*range(0, len(whole), 4096), *(dice.randrange(len(whole)) for _ in range(20))):
+    for cut in (*range(0, len(whole), 4096), *(rng.randrange(len(whole)) for _ in range(20))):
         out[f"cut {cut}"] = lambda cut=cut: path.write_bytes(whole[:cut])  # type: ignore[misc]
-    for place in (dice.randrange(len(whole)) for _ in range(60)):
+    for place in (rng.randrange(len(whole)) for _ in range(60)):
         out[f"flip {place}"] = lambda place=place: path.write_bytes(flip(place))  # type: ignore[misc]
     return out
 
@@ -243,14 +243,14 @@
 
 
 def test_what_was_told_as_kept_outlives_ten_kills_in_a_row(tmp_path: Path) -> None:
-    dice, boxes, boot = random.Random(1), 0, 0
+    rng, boxes, boot = random.Random(1), 0, 0
     for _ in range(10):
         words = [sys.executable, "-c", WRITES, str(tmp_path)]
         with subprocess.Popen(words, cwd=ROOT, stdout=subprocess.PIPE, text=True) as process:
             assert process.stdout
-            for _ in range(dice.randint(1, 5)):
+            for _ in range(rng.randint(1, 5)):
                 boxes, boot = map(int, process.stdout.readline().split())
-            time.sleep(dice.uniform(0, 0.01))
+            time.sleep(rng.uniform(0, 0.01))
             process.kill()
             for line in process.stdout:  # kept too, though the reader came late
                 if line.endswith("\n"):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,9 @@
 from cleatyoke.emulate.script import FAULTS, draw, play, shrink
 from cleatyoke.fleet import wire
 from cleatyoke.fleet.conclude import Known, conclude
-from cleatyoke.fleet.members import Asked, Change, Heard, Leave, Members, Probe, Reply, Send, Timing, Told
+from cleatyoke.fleet.interface import Asked, Change, Heard, Leave, Reply, Send, Timing, Told
+from cleatyoke.fleet.member_records import Probe
+from cleatyoke.fleet.members import Members
 from cleatyoke.fleet.wire import Gossip, Id, Ping, Rumour, State
 
 SIZE = 12
@@ -97,11 +99,11 @@
 
 def test_garbage_by_the_thousand_changes_nothing_and_is_counted() -> None:
     fleet = started(4)
-    one, dice = members(fleet, 0), random.Random(1)
+    one, rng = members(fleet, 0), random.Random(1)
     good = wire.encode_datagram("test", one.lives[members(fleet, 1).id].rumour, Gossip(), [])[0]
     before = one.digest()
-    bad = [dice.randbytes(dice.randrange(40)) for _ in range(1000)]
-    bad += [good[: dice.randrange(len(good))] for _ in range(1000)]
+    bad = [rng.randbytes(rng.randrange(40)) for _ in range(1000)]
+    bad += [good[: rng.randrange(len(good))] for _ in range(1000)]
     one.step(fleet.now, map(Heard, bad))
     assert one.digest() == before and sum(one.figures.refused.values()) == 2000
     one.step(fleet.now, [Heard(good)] * 1000)  # replayed
@@ -116,10 +118,10 @@
 @settings(deadline=None, derandomize=True, max_examples=60)
 @given(st.lists(rumours, max_size=12), st.randoms(use_true_random=False))
 def test_rumours_merge_to_one_view_in_any_order_any_number_of_times(
-    told: list[Rumour], dice: random.Random
+    told: list[Rumour], rng: random.Random
 ) -> None:
     digests = set()
-    for again in (told, told * 2, dice.sample(told, len(told))):
+    for again in (told, told * 2, rng.sample(told, len(told))):
         one = Members("test", "a", 1, "a:1", (), random.Random(1))
         one.step(0.0)
         for each in again:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -206,13 +206,13 @@
     async def test_garbage_foreign_and_replayed_datagrams_by_the_thousand_change_nothing(self) -> None:
         one, other = await self.start(1), await self.start(2)
         await self.until("len(view.members.present)", 1)
-        dice = random.Random(1)
+        rng = random.Random(1)
         life = Rumour(Id("n2", 1), other.members.address, State.DEAD, 0)
         foreign = wire.encode_datagram("theirs", life, Gossip(), [life])[0]
         own = wire.encode_datagram("ours", other.members.me(), Gossip(), [])[0]
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
             for number in range(2000):
-                bad = dice.randbytes(dice.randrange(1, 1400))
+                bad = rng.randbytes(rng.randrange(1, 1400))
                 stranger.sendto((bad, foreign, own, own[:-3])[number % 4], ("127.1.2.1", self.port))
                 if number % 50 == 0:
                     await asyncio.sleep(0.01)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -476,7 +476,7 @@
 def fleet_at_a_cold_node(forget: bool = False) -> list[tuple[float, float]]:
     """When and how many units 40 hosts send to a node that came up as they all started anew. Its volumes come
     through 10 of them, ask for their reserves in bunches, and those add up to four fifths of its 50."""
-    dice, start, sends = random.Random(7), 100.0, []
+    rng, start, sends = random.Random(7), 100.0, []
     plan = plan_spec(reserve=40.0 / 20, rate=2.5)
     figures = {"ramp": 14.0, "tip_after": 2.0, "cold_from": 0.16}
     hosts = [
@@ -488,7 +488,7 @@
         for seed in range(10)
     ]
     asks = sorted(
-        (start + dice.random() * 12.0, dice.randrange(20), number) for number in range(240)
+        (start + rng.random() * 12.0, rng.randrange(20), number) for number in range(240)
     )  # of 20 volumes, two units each: 40 a second
     while hosts[0].now < start + 12.0:
         for host in hosts:
--- a/tests/test_random.py
+++ b/tests/test_random.py
@@ -29,7 +29,7 @@
     """Plays clients, nodes and discovery, and keeps its own books of what the rules allow."""
 
     def __init__(self, seed: int) -> None:
-        self.dice = random.Random(seed)
+        self.rng = random.Random(seed)
         config = host_settings(CLASSES, PLANS, SAFETY, must_watch=True, hosts=2)
         self.host = Host(config, [entry(cell, cell) for cell in range(CELLS)], now=50.0)
         self.safety = config.safety
@@ -54,17 +54,17 @@
         return CLASSES[self.asked[name].class_index]
 
     def arrive(self) -> api.Event:
-        now, dice = self.host.now, self.dice
-        volume = dice.randrange(6)
+        now, rng = self.host.now, self.rng
+        volume = rng.randrange(6)
         event = self.host.arrival(
             f"q{len(self.asked)}",
-            class_index=dice.randrange(len(CLASSES)),
+            class_index=rng.randrange(len(CLASSES)),
             plan=volume % 2,
             volume=volume,
-            item=dice.randrange(4) if dice.random() < 0.8 else None,
-            cell=dice.choice([-1, 0, 1, 2]),
-            units=float(dice.randint(1, 6)),
-            deadline=now + dice.choice([0.0, 0.01, 0.5, 2.0]),
+            item=rng.randrange(4) if rng.random() < 0.8 else None,
+            cell=rng.choice([-1, 0, 1, 2]),
+            units=float(rng.randint(1, 6)),
+            deadline=now + rng.choice([0.0, 0.01, 0.5, 2.0]),
             hosts=2,
         )
         self.asked[event.request] = event
@@ -94,37 +94,37 @@
             self.line[item].remove(name)
 
     def news(self) -> api.Event:
-        if self.dice.random() < 0.2:
+        if self.rng.random() < 0.2:
             return api.NodeList(api.ListKind.LOST, [])
-        cell = self.dice.randrange(CELLS)
+        cell = self.rng.randrange(CELLS)
         if self.state[cell] is NodeState.LIVE:
-            self.state[cell] = self.dice.choice([NodeState.DRAINING, NodeState.GONE])
+            self.state[cell] = self.rng.choice([NodeState.DRAINING, NodeState.GONE])
         else:
             self.state[cell] = NodeState.LIVE
-            self.up_since[cell] = self.host.now - self.dice.choice([0.0, 5.0, 50.0])
+            self.up_since[cell] = self.host.now - self.rng.choice([0.0, 5.0, 50.0])
             self.to_node[cell].clear()
         changed = entry(cell, cell, self.state[cell], self.up_since[cell])
         return api.NodeList(api.ListKind.CHANGES, [changed])
 
     def step(self) -> None:
-        host, dice = self.host, self.dice
-        host.now += dice.choice([0.0, 0.005, 0.02, 0.02])
+        host, rng = self.host, self.rng
+        host.now += rng.choice([0.0, 0.005, 0.02, 0.02])
         events: list[api.Event] = [api.Woken(0)]
-        if dice.random() < 0.05:
+        if rng.random() < 0.05:
             events.append(self.news())
         for name, (_, _, _, ends) in list(self.out.items()):
             if host.now >= self.asked[name].deadline:
                 events.append(self.finish(name, Outcome.TIMEOUT))
             elif host.now >= ends:
-                bad = dice.random() < 0.4
-                events.append(self.finish(name, dice.choice(list(Outcome)) if bad else Outcome.SERVED))
+                bad = rng.random() < 0.4
+                events.append(self.finish(name, rng.choice(list(Outcome)) if bad else Outcome.SERVED))
         ended = {event.request for event in events if isinstance(event, api.Ended)}
-        if (there := sorted(self.owed - ended)) and dice.random() < 0.03:
-            name = dice.choice(there)
+        if (there := sorted(self.owed - ended)) and rng.random() < 0.03:
+            name = rng.choice(there)
             self.owed.discard(name)
             self.leave_line(name)
             events.append(api.Withdrawn(name))
-        events += [self.arrive() for _ in range(dice.choice([0, 0, 1, 3]))]
+        events += [self.arrive() for _ in range(rng.choice([0, 0, 1, 3]))]
         for action in host.step(*events):
             self.check(action)
         late = [name for name in self.owed if self.asked[name].deadline < host.now and name not in self.out]
@@ -180,7 +180,7 @@
             due = policy.table.due_rate.get(node)
             own = max(stated, usual * window, due * window) + self.config.largest
             assert sent <= own + 1e-6, "cold node"
-        self.out[name] = (self.sends[name], node, now, now + self.dice.choice([0.01, 0.05, 0.2, 1.0, 9.0]))
+        self.out[name] = (self.sends[name], node, now, now + self.rng.choice([0.01, 0.05, 0.2, 1.0, 9.0]))
         self.sends[name] += 1
 
 
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -13,7 +13,8 @@
 
 from cleatyoke.emulate.fleet import Fleet
 from cleatyoke.fleet import replicas, wire
-from cleatyoke.fleet.members import Asked, Members
+from cleatyoke.fleet.interface import Asked
+from cleatyoke.fleet.members import Members
 from cleatyoke.fleet.replicas import Highest, Holds, Latest
 from cleatyoke.fleet.sharing import Sharing
 from cleatyoke.fleet.wire import Id, Rumour, State
--- a/tests/test_rights.py
+++ b/tests/test_rights.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cleatyoke.emulate.market import RESOURCE, Market
+from cleatyoke.emulate.lending import RESOURCE, Lenders
 from cleatyoke.emulate.network import Network
 from cleatyoke.fleet.meters import SPAN, Meters
 from cleatyoke.fleet.rights import KEPT, Came, Need, Part, Peers, Post, Rights, Terms
@@ -22,8 +22,8 @@
 class KeptOverRestart(Rights):
     """A new life takes its home for whole at once."""
 
-    def __init__(self, began: float, dice: random.Random, terms: Terms | None = None) -> None:
-        super().__init__(began - 3600.0, dice, terms)
+    def __init__(self, began: float, rng: random.Random, terms: Terms | None = None) -> None:
+        super().__init__(began - 3600.0, rng, terms)
 
 
 class EndsAfterGrant(Rights):
@@ -45,26 +45,26 @@
         super().forget(now, account)  # type: ignore[arg-type]
 
 
-def play(seed: int, make: type[Rights] = Rights, seconds: float = 40.0) -> Market:
+def play(seed: int, make: type[Rights] = Rights, seconds: float = 40.0) -> Lenders:
     """Random needs, restarts, stops, loss, doubles and long delays."""
-    dice = random.Random(f"play:{seed}")
+    rng = random.Random(f"play:{seed}")
     network = Network(
-        seed, delay=0.001, jitter=dice.choice((0.01, 0.5, 3.0)), loss=dice.choice((0.0, 0.3)), doubles=0.05
+        seed, delay=0.001, jitter=rng.choice((0.01, 0.5, 3.0)), loss=rng.choice((0.0, 0.3)), doubles=0.05
     )
-    market = Market(6, seed, network, make=make)
+    market = Lenders(6, seed, network, make=make)
     while market.now < seconds:
-        front = dice.randrange(market.size)
-        match dice.randrange(6):
+        front = rng.randrange(market.size)
+        match rng.randrange(6):
             case 0:
                 market.start(front)
             case 1:
-                market.stop(front, dice.uniform(0.5, 5.0))
+                market.stop(front, rng.uniform(0.5, 5.0))
             case 2:
-                network.cut = {str(one): dice.randrange(2) for one in range(market.size)}
+                network.cut = {str(one): rng.randrange(2) for one in range(market.size)}
             case 3:
                 network.cut = {}
-        market.needs = [dice.choice((0.0, 200.0, 900.0, 4000.0)) for _ in range(market.size)]
-        market.run(market.now + dice.uniform(0.2, 3.0))
+        market.needs = [rng.choice((0.0, 200.0, 900.0, 4000.0)) for _ in range(market.size)]
+        market.run(market.now + rng.uniform(0.2, 3.0))
     return market
 
 
@@ -81,7 +81,7 @@
 
 
 def test_the_need_is_met_where_it_is_and_moves_with_it() -> None:
-    market = Market(8, 1, Network(1))
+    market = Lenders(8, 1, Network(1))
     for hot in (0, 5, 2):
         market.needs = [300.0] * market.size
         market.needs[hot] = 3000.0
@@ -96,14 +96,14 @@
 
 
 def test_where_all_need_more_each_keeps_its_home() -> None:
-    market = Market(5, 1, Network(1))
+    market = Lenders(5, 1, Network(1))
     market.needs = [2000.0] * 5
     market.run(5.0)
     assert [one.rights.usable(RESOURCE, market.now) for one in market.traders.values()] == [HOME] * 5
 
 
 def test_a_stopped_borrower_finds_at_wake_that_its_lease_is_over() -> None:
-    market = Market(3, 1, Network(1))
+    market = Lenders(3, 1, Network(1))
     market.needs = [2500.0, 0.0, 0.0]
     market.run(2.5)
     trader = market.traders[0]
@@ -263,13 +263,13 @@
 
 
 def test_what_is_asked_for_by_chance_moves_a_need_less_than_a_change_does() -> None:
-    dice, meters, needs = random.Random(2), Meters[int](), list[float]()
+    rng, meters, needs = random.Random(2), Meters[int](), list[float]()
     at, now = 0.0, 0.0
     for _ in range(400):  # two requests a second at a home of five units: 400 parts
         now += SPAN
         while at < now:
             meters.asked(at, 1, 1.0, 5.0)
-            at += dice.expovariate(2.0)
+            at += rng.expovariate(2.0)
         needs.append(meters.needs(now)[1])
     later = sorted(needs[40:])
     assert 350 < sum(later) / len(later) < 450
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -27,8 +27,8 @@
 from cleatyoke.config import FLEET_TIMES, FleetPeers, read_address
 from cleatyoke.durable.records import Doubt, Memory, Row
 from cleatyoke.durable.store import Disk
-from cleatyoke.emulate import keep
-from cleatyoke.emulate.keep import recalls
+from cleatyoke.emulate import durability
+from cleatyoke.emulate.durability import recalls
 from cleatyoke.faults import Faults
 from cleatyoke.figures import Figures
 from cleatyoke.fleet.recovery import BOUNDS, ORDER, Evidence, Recovery, Stage
@@ -130,9 +130,9 @@
 
 def test_no_hold_that_was_kept_is_lost_in_any_order_of_losses_and_wrong_variants_are_caught() -> None:
     seeds = (*range(20), 25, 33)
-    assert [keep.play(seed) for seed in seeds] == [[]] * len(seeds)
-    assert any(keep.play(seed, share=TakesAbsenceForRelease) for seed in (25, 33))
-    assert any(keep.play(seed, recall=reads_nothing) for seed in range(10))
+    assert [durability.play(seed) for seed in seeds] == [[]] * len(seeds)
+    assert any(durability.play(seed, share=TakesAbsenceForRelease) for seed in (25, 33))
+    assert any(durability.play(seed, recall=reads_nothing) for seed in range(10))
 
 
 class LossCase(unittest.TestCase):
@@ -280,13 +280,13 @@
         held = Memory(Holds().hold(Id("n1", 5), "s-003"), 1 << 52)  # far ahead of any clock
         disk = Disk(self.durable, "ours/n1")
         self.assertEqual(disk.save(held), [])
-        dice, boots = random.Random(4), [held.boot]
+        rng, boots = random.Random(4), [held.boot]
         for number in range(10):
             async with self.process() as process:
                 passed = ("disk", "peers", "list", "ready")[number % 4]
                 text = await self.log(process, f"passed='{passed}'" if passed != "ready" else "event='ready'")
                 self.assertIn("passed='disk' by='found'", text)
-                await asyncio.sleep(dice.uniform(0, 0.05))
+                await asyncio.sleep(rng.uniform(0, 0.05))
             memory, doubts = disk.load()
             self.assertEqual((doubts, memory.holds), ([], held.holds))
             boots.append(memory.boot)
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -15,8 +15,8 @@
 from cleatyoke.core import Core
 from cleatyoke.emulate import recovery, worth
 from cleatyoke.emulate.clock import Idle, run
+from cleatyoke.emulate.earnings import Wish
 from cleatyoke.emulate.traffic import UNIX, Emulation, emulate
-from cleatyoke.emulate.worth import Wish
 from cleatyoke.standin.scenario import Scenario, make_scenario
 
 
