Write the capacity page and the page of distributed configuration, and let no change that is not valid hold up others

Need: the page by one command, with every figure marked real, hollow or paper; and while it was tried as a new user, one key that was not valid kept all later settings out.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -282,10 +282,9 @@
 
     def put_in_force(self, settings: Settings) -> str:
         """Distributed settings, by the path of SIGHUP: they win over the file's. Returns why not, if so."""
-        chosen = settings.copy()
-        why = self.take_settings(chosen.merged)
+        why = self.take_settings(settings.merged)
         if not why:
-            self.distributed = chosen.merged
+            self.distributed = settings.merged
         return why
 
     def take_settings(self, chosen: Callable[[Any], Any]) -> str:
--- a/cleatyoke/distribution/__main__.py
+++ b/cleatyoke/distribution/__main__.py
@@ -12,6 +12,7 @@
 import click
 import structlog
 
+from cleatyoke.commands import run_command
 from cleatyoke.config import Address, BadConfig, read_address
 from cleatyoke.distribution.contents import lane_of
 from cleatyoke.distribution.folder import BadEpoch, Folder, next_epoch
@@ -122,19 +123,10 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
     set_up_log()
     try:
-        commands.main(words, prog_name="python -m cleatyoke.distribution", standalone_mode=False)
-        return 0
-    except click.MissingParameter as error:
-        click.echo(f"{error.param.opts[-1] if error.param else 'arguments'}: missing", err=True)
-    except click.BadParameter as error:
-        click.echo(f"{error.param.opts[-1] if error.param else 'option'}: {error.message}", err=True)
-    except click.NoSuchOption as error:
-        click.echo(f"{error.option_name}: no such option", err=True)
-    except click.ClickException as error:
-        click.echo(error.message, err=True)
+        return run_command(commands, words, "python -m cleatyoke.distribution")
     except OSError as error:
         click.echo(f"--listen: {error}", err=True)
-    return 2
+        return 2
 
 
 if __name__ == "__main__":
--- a/cleatyoke/distribution/contents.py
+++ b/cleatyoke/distribution/contents.py
@@ -41,19 +41,16 @@
     entries: dict[str, Entry] = field(default_factory=dict)
     version: Version = field(default_factory=lambda: Version(0, 0))
 
-    def take(self, entries: Iterable[Entry]) -> bool:
-        """Whether any of them is about settings."""
-        ours = [entry for entry in entries if entry.key == WHOLE or entry.key.startswith(PART)]
-        for entry in ours:
-            self.version = max(self.version, entry.version)
+    def with_entries(self, entries: Iterable[Entry]) -> Settings:
+        """These settings as the entries change them."""
+        changed = Settings(dict(self.entries), self.version)
+        for entry in entries:
+            changed.version = max(changed.version, entry.version)
             if entry.value is None:
-                self.entries.pop(entry.key, None)
+                changed.entries.pop(entry.key, None)
             else:
-                self.entries[entry.key] = entry
-        return bool(ours)
-
-    def copy(self) -> Settings:
-        return Settings(dict(self.entries), self.version)
+                changed.entries[entry.key] = entry
+        return changed
 
     def merged(self, base: dict[str, Any]) -> dict[str, Any]:
         """The settings object: ``base`` where the whole did not come. Raises ``BadValue``."""
@@ -64,6 +61,12 @@
         return {**settings, **{key.removeprefix(PART): value for key, value in sorted(values.items())}}
 
 
+def settings_entries(entries: Iterable[Entry]) -> list[Entry]:
+    """Those that are about settings, oldest first."""
+    ours = [entry for entry in entries if entry.key == WHOLE or entry.key.startswith(PART)]
+    return sorted(ours, key=lambda entry: entry.version)
+
+
 def listed_nodes(entries: Iterable[Entry]) -> tuple[list[Any], list[str]]:
     """Of nodes: entries in the form of discovery's lists, and which keys can't be read."""
     found, bad = [], []
--- a/cleatyoke/distribution/status.py
+++ b/cleatyoke/distribution/status.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from cleatyoke.distribution.records import NOTHING, Lane, Version
 from cleatyoke.distribution.subscriber import Subscriber
@@ -11,22 +12,32 @@
 OLD = 13.0  # seconds after which it is said that what is in force may be old
 
 
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """A change that is not valid."""
+
+    version: Version
+    why: str
+
+
 @dataclass(slots=True)
 class Status:
-    """``in_force``: the version of the settings that the policy decides by; ``refused``: a newer one that is
-    not valid, and why."""
+    """``in_force``: the version of the settings that the policy decides by; ``refused``: by key, a version
+    that is not valid, and why."""
 
     subscriber: Subscriber
     in_force: Version = NOTHING
-    refused: Version = NOTHING
-    why: str = ""
+    refused: dict[str, Refused] = field(default_factory=dict)
     told_old: bool = False
 
-    def took(self, version: Version) -> None:
-        self.in_force, self.refused, self.why = version, NOTHING, ""
+    def took(self, version: Version, keys: Iterable[str]) -> None:
+        """Of these keys the latest values are in force."""
+        self.in_force = version
+        for key in keys:
+            self.refused.pop(key, None)
 
-    def turned_down(self, version: Version, why: str) -> None:
-        self.refused, self.why = version, why
+    def turned_down(self, key: str, version: Version, why: str) -> None:
+        self.refused[key] = Refused(version, why)
 
     def became_old(self, now: float) -> bool | None:
         """Whether what is in force has become old, or fresh again, since the last look; None: neither."""
@@ -43,7 +54,11 @@
         known = {lane: subscriber.lanes[lane].position.number for lane in Lane}
         return [
             f"config.in_force={self.in_force.epoch}.{self.in_force.number}",
-            f"config.refused={self.refused.epoch}.{self.refused.number} {self.why}".rstrip(),
+            f"config.refused={len(self.refused)}",
+            *(
+                f"config.refused.{key}={one.version.number} {one.why}"
+                for key, one in list(self.refused.items())
+            ),
             f"config.known={subscriber.epoch}.{known[Lane.SETTINGS]}",
             f"config.nodes_known={subscriber.epoch}.{known[Lane.NODES]}",
             f"config.whole={'yes' if whole else 'no'}",
@@ -61,7 +76,7 @@
             "config_epoch": float(self.in_force.epoch),
             "config_number": float(self.in_force.number),
             "config_age_seconds": self.subscriber.age(now),
-            "config_refused": float(self.refused != NOTHING),
+            "config_refused": float(len(self.refused)),
         }
 
 
--- a/cleatyoke/emulate/__main__.py
+++ b/cleatyoke/emulate/__main__.py
@@ -10,6 +10,7 @@
 
 import click
 
+from cleatyoke.commands import run_command
 from cleatyoke.emulate.capacity.command import capacity
 from cleatyoke.emulate.distribution_measure import distribution
 from cleatyoke.emulate.script import draw, line, play, shrink
@@ -48,16 +49,7 @@
 
 def main(words: Sequence[str] | None = None) -> int:
     """Returns the exit status; 2, after one line that begins with the option's name, for a bad option."""
-    try:
-        return int(commands.main(words, "python -m cleatyoke.emulate", standalone_mode=False) or 0)
-    except click.BadParameter as error:
-        name = error.param.opts[-1] if error.param else error.param_hint
-        click.echo(f"{name}: {error.message}", err=True)
-    except click.NoSuchOption as error:
-        click.echo(f"{error.option_name}: no such option", err=True)
-    except click.ClickException as error:
-        click.echo(error.message, err=True)
-    return 2
+    return run_command(commands, words, "python -m cleatyoke.emulate")
 
 
 if __name__ == "__main__":
--- a/cleatyoke/emulate/capacity/command.py
+++ b/cleatyoke/emulate/capacity/command.py
@@ -9,7 +9,7 @@
 
 import click
 
-PAGE, TABLE = "CAPACITY.md", "capacity.csv"
+PAGE, TABLE, SPREADS = "CAPACITY.md", "capacity.csv", "distribution.csv"
 MOST_JOBS = 64
 MOST_SIZE = 1_000_000
 
@@ -49,7 +49,9 @@
 @click.option("--seed", "seeds", type=click.IntRange(0), multiple=True, default=(1, 2, 3), show_default=True)
 @click.option("--jobs", type=click.IntRange(1, MOST_JOBS), default=4, show_default=True, help="At once.")
 @click.option("--out", type=click.Path(path_type=Path), required=True, help="Folder of the page.")
-@click.option("--duty", "chosen", multiple=True, help="Only these duties; the others stay as they are in the table.")
+@click.option(
+    "--duty", "chosen", multiple=True, help="Only these duties; the others stay as they are in the table."
+)
 @click.option("--page-only", is_flag=True, help="Make the page of the table that is there.")
 def capacity(
     sizes: tuple[int, ...],
@@ -69,7 +71,7 @@
     if page_only:
         if not (out / TABLE).is_file():
             raise BadOption(f"--page-only: {out / TABLE} is not there")
-        write_page(results.Results(results.read_rows(out / TABLE)), out)
+        write_page(results.Results(results.read_rows(out / TABLE), results.read_spreads(out / SPREADS)), out)
         return
     series = [one for one in measure.SERIES if not chosen or one.duty in chosen]
     todo = measure.plan_jobs(series, seeds, sizes)
@@ -79,7 +81,7 @@
         rows += [row for row in results.read_rows(out / TABLE) if row.duty not in chosen]
         rows.sort(key=lambda row: (row.duty, row.figure, row.size, row.seed))
     results.write_rows(rows, out / TABLE)
-    write_page(results.Results(rows), out)
+    write_page(results.Results(rows, results.read_spreads(out / SPREADS)), out)
 
 
 def write_page(found: object, out: Path) -> None:
--- a/cleatyoke/emulate/capacity/needs.py
+++ b/cleatyoke/emulate/capacity/needs.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from cleatyoke.config import Shares
 from cleatyoke.emulate.capacity import duties
 from cleatyoke.emulate.capacity.measure import Kind
 from cleatyoke.emulate.capacity.plan import DAY, PLAN, Plan
-from cleatyoke.emulate.capacity.results import Results
+from cleatyoke.emulate.capacity.results import Results, Spread
 from cleatyoke.fleet.replicas import MOST_ACTORS
 from cleatyoke.fleet.wire import MOST_COPIES, MOST_STREAM
 from cleatyoke.net.discovery import BEAT, EACH
@@ -56,21 +56,22 @@
     return results.at("node list", "list_bytes") / PLAN.nodes
 
 
-def missing(plan: Plan = PLAN) -> Iterator[Need]:
-    """What nothing carries today."""
+def missing(spreads: Sequence[Spread], plan: Plan = PLAN) -> Iterator[Need]:
+    """What nothing carries today. ``spreads``: of the distribution, where it was measured."""
 
     def lacks(duty: str, asked: str, why: str) -> Need:
         return Need(duty, math.nan, math.nan, "", Kind.PAPER.value, "", why, asked)
 
+    if not spreads:
+        yield lacks(
+            "distribution of configuration",
+            f"{plan.config_changes_a_day:,} changes a day, each in force within {plan.config_within:g} s",
+            "a file and SIGHUP at each front; no version, no relay, nothing for a front that was away",
+        )
     yield lacks(
-        "distribution of configuration",
-        f"{plan.config_changes_a_day:,} changes a day, each in force within {plan.config_within:g} s",
-        "a file and SIGHUP at each front; no version, no relay, nothing for a front that was away",
-    )
-    yield lacks(
-        "control machines",
-        f"{plan.fronts / plan.control_machines:.0f} fronts each",
-        "no process and no role for them",
+        "durable copy of configuration and nodes at a front",
+        "a start with no relay from what was in force",
+        "a front that restarts while all relays are down serves by its file",
     )
     yield lacks(
         "subset of nodes for a front",
@@ -107,8 +108,8 @@
     lost = results.at("node list", "new_object") / results.at("node list", "request")
     yield Need(
         "a new object, against another request",
-        *(lost, 2.0, "times", real, "Policy.dispatch (rules.py)"),
-        "all holders are looked at for each",
+        *(lost, 2.0, "times", real, "NodeTable.holders_to_try (node_table.py)"),
+        "256 holders are offered each; all of them before",
     )
 
 
@@ -196,6 +197,16 @@
     )
 
 
+def distribution_needs(spreads: Sequence[Spread], plan: Plan = PLAN) -> Iterator[Need]:
+    carrier, hollow = "Subscriber, Relay (distribution/)", Kind.HOLLOW.value
+    for one in spreads:
+        within = plan.config_within if one.lane == "settings" else plan.primary_within
+        name = f"distribution, {one.what}, {one.lane}"
+        yield Need(f"{name}, until the last front knows", one.worst, within, "s", hollow, carrier)
+        window = 13.0 * plan.bytes_s
+        yield Need(f"{name}, most bytes in 13 s", one.worst_window, window, "bytes", hollow, carrier)
+
+
 def data_needs(results: Results, plan: Plan = PLAN) -> Iterator[Need]:
     real, paper = Kind.REAL.value, Kind.PAPER.value
     server, count = "Front (net/server.py)", workers(results)
@@ -224,6 +235,6 @@
 
 def all_needs(results: Results) -> list[Need]:
     """Those that nothing carries first, then by their factor; what was not measured last."""
-    found = [*missing(), *list_needs(results), *member_needs(results)]
-    found += [*shared_needs(results), *data_needs(results)]
+    found = [*missing(results.spreads), *list_needs(results), *member_needs(results)]
+    found += [*shared_needs(results), *data_needs(results), *distribution_needs(results.spreads)]
     return sorted(found, key=lambda one: -one.factor if not math.isnan(one.factor) else math.inf)
--- a/cleatyoke/emulate/capacity/results.py
+++ b/cleatyoke/emulate/capacity/results.py
@@ -41,9 +41,27 @@
         return self.fit.range_at(self.design, self.sizes[-1])
 
 
+@dataclass(slots=True, frozen=True)
+class Spread:
+    """How changes were spread to all fronts in one situation (``emulate.distribution_measure``): seconds from
+    a change to its being known, over all changes and fronts; bytes of a front a second in the mean, and the
+    most that one took in a window of 13 s."""
+
+    what: str
+    lane: str
+    changes: int
+    p50: float
+    p99: float
+    worst: float
+    mean_bytes: float
+    worst_window: float
+
+
 class Results:
-    def __init__(self, rows: Sequence[Row]) -> None:
-        self.rows = list(rows)
+    """``spreads``: of the distribution; none where it was not measured."""
+
+    def __init__(self, rows: Sequence[Row], spreads: Sequence[Spread] = ()) -> None:
+        self.rows, self.spreads = list(rows), list(spreads)
         self.figures: dict[tuple[str, str], Figure] = {}
         designs = {one.duty: one.design for one in SERIES}
         groups: defaultdict[tuple[str, str], list[Row]] = defaultdict(list)
@@ -88,6 +106,22 @@
     )
 
 
+def read_spreads(path: Path) -> list[Spread]:
+    """Nothing where there is no such file."""
+    if not path.is_file():
+        return []
+    with path.open(newline="") as file:
+        return [
+            Spread(
+                row["what"],
+                row["lane"],
+                int(row["changes"]),
+                *(float(row[name]) for name in ("p50", "p99", "worst", "mean_bytes", "worst_window")),
+            )
+            for row in csv.DictReader(file)
+        ]
+
+
 def write_rows(rows: Iterable[Row], path: Path) -> None:
     with path.open("w", newline="") as file:
         writer = csv.DictWriter(file, [one.name for one in fields(Row)])
--- a/cleatyoke/emulate/capacity/situations.py
+++ b/cleatyoke/emulate/capacity/situations.py
@@ -43,7 +43,11 @@
     paper = "hollow members, paper"
 
     ordinary = quiet + plan.node_rate * machine * WINDOW
-    yield Situation("an ordinary second, times 13", ordinary, quiet_cpu, 6.0, "configuration", paper)
+    usual = [one for one in results.spreads if one.what == "mean rate"]
+    ordinary += usual[0].worst_window if usual else 0.0
+    settles = max(6.0, usual[0].worst) if usual else 6.0
+    lacking = "" if usual else f"configuration: {NONE}"
+    yield Situation("an ordinary second, times 13", ordinary, quiet_cpu, settles, lacking, paper)
     yield Situation(
         "a burst of configuration, 500 in a minute",
         quiet,
@@ -84,7 +88,7 @@
         sent + whole,
         cpu + results.at("node list", "again_cpu"),
         max(settled, (sent + whole) / plan.bytes_s),
-        "changes missed are sent as the whole list; configuration",
+        "nodes that were missed come as discovery's whole list",
         "hollow members (40 s apart), real list",
     )
     yield Situation(
@@ -92,7 +96,7 @@
         quiet,
         quiet_cpu,
         0.0,
-        f"control machines: {NONE}; a shared discovery that is down is called as the ranking says",
+        "nothing is needed to serve on; a front that restarts meanwhile has its file alone",
         paper,
     )
     sent, cpu, settled = after_event(results, "members, power loss")
@@ -101,6 +105,6 @@
         sent + whole,
         cpu + results.at("start of a front", "cpu") + results.at("node list", "take_cpu"),
         max(settled, (sent + whole) / plan.bytes_s),
-        "durable copy of nodes and configuration",
+        "a durable copy of nodes and configuration",
         "hollow members, real list and start",
     )
--- a/cleatyoke/net/distribution.py
+++ b/cleatyoke/net/distribution.py
@@ -17,7 +17,7 @@
 from cleatyoke.api import NodeState
 from cleatyoke.config import Address, DistributionRelays, read_address
 from cleatyoke.directory import Listing
-from cleatyoke.distribution.contents import Settings, listed_nodes
+from cleatyoke.distribution.contents import Settings, listed_nodes, settings_entries
 from cleatyoke.distribution.records import MOST_MESSAGE, Entry, Lane
 from cleatyoke.distribution.status import Status
 from cleatyoke.distribution.subscriber import (
@@ -176,16 +176,28 @@
                 log.info("config_restarted", lane=lane.name.lower(), epoch=epoch)
 
     def take_settings(self, entries: list[Entry]) -> None:
-        """The newest settings as a whole; those that are not valid are refused by name and change nothing."""
-        if not self.settings.take(entries):
+        """All that came together; or where that is not valid, one by one, so that a change that is not valid
+        is refused by name and holds up no other."""
+        ours = settings_entries(entries)
+        if not ours or not self.try_settings(ours):
             return
-        version = self.settings.version
-        if why := self.put_in_force(self.settings):
-            self.status.turned_down(version, why)
-            log.error("config_refused", epoch=version.epoch, number=version.number, why=why)
-            return
-        self.status.took(version)
+        for entry in ours:
+            if why := self.try_settings([entry]):
+                version = entry.version
+                self.status.turned_down(entry.key, version, why)
+                log.error(
+                    "config_refused", key=entry.key, epoch=version.epoch, number=version.number, why=why
+                )
+
+    def try_settings(self, entries: list[Entry]) -> str:
+        """Returns why these entries are not valid, if so."""
+        changed = self.settings.with_entries(entries)
+        if why := self.put_in_force(changed):
+            return why
+        self.settings, version = changed, changed.version
+        self.status.took(version, [entry.key for entry in entries])
         log.info("config_in_force", epoch=version.epoch, number=version.number, source=self.subscriber.source)
+        return ""
 
     def take_nodes(self, entries: list[Entry]) -> None:
         """Word from here only restricts: whom to send to comes from discovery alone."""
