--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -13,7 +13,7 @@
 
 from cleatyoke import api
 from cleatyoke.core import Core
-from cleatyoke.emulate import recovery, worth
+from cleatyoke.emulate import earnings, recovery
 from cleatyoke.emulate.clock import Idle, run
 from cleatyoke.emulate.earnings import Wish
 from cleatyoke.emulate.traffic import UNIX, Emulation, emulate
@@ -103,9 +103,9 @@
     assert ours.broken() == [] and not any(box.fell for box in ours.boxes)
     assert any(box.fell for box in wrong.boxes)
     assert any(line.startswith("cold:") for line in wrong.broken())
-    sums = [sum(worth.earned(loss, played.wishes)) for played in (wrong, ours)]
-    best = sum(worth.ideal(loss, ours.wishes, ours.power))
-    assert sums[0] < sums[1] < best <= 1.001 * sum(worth.due(loss, ours.wishes))
+    sums = [sum(earnings.earned(loss, played.wishes)) for played in (wrong, ours)]
+    best = sum(earnings.ideal(loss, ours.wishes, ours.power))
+    assert sums[0] < sums[1] < best <= 1.001 * sum(earnings.due(loss, ours.wishes))
 
 
 def test_what_is_lent_by_the_view_is_lent_in_virtual_time_too() -> None:
@@ -129,12 +129,12 @@
     ]
     unit = kind.worth * 2
     late = 2 * 0.35 * unit * kind.late_share  # all of its second's reserve is taken by the two in time
-    assert worth.earned(small, wishes) == pytest.approx([2 * unit, late, (2 + 2 * 0.35) * unit, 0.0])
-    assert sum(worth.due(small, wishes)) == pytest.approx((4 + 4 * 0.35 + 4) * unit)
-    assert worth.ideal(small, wishes, lambda cell, at: 0.0) == [0.0] * 4
-    few = worth.ideal(small, wishes, lambda cell, at: 4.0 if at < 1 else 0.0)  # a unit a slot; no last second
-    assert few[3] == 0.0 and 4 * unit <= sum(few) < sum(worth.due(small, wishes[:3]))
-    assert worth.over_time(wishes, [1.0, 2.0, 3.0, 4.0], 0.0) == [6.0, 4.0]
+    assert earnings.earned(small, wishes) == pytest.approx([2 * unit, late, (2 + 2 * 0.35) * unit, 0.0])
+    assert sum(earnings.due(small, wishes)) == pytest.approx((4 + 4 * 0.35 + 4) * unit)
+    assert earnings.ideal(small, wishes, lambda cell, at: 0.0) == [0.0] * 4
+    few = earnings.ideal(small, wishes, lambda cell, at: 4.0 if at < 1 else 0.0)  # a unit a slot
+    assert few[3] == 0.0 and 4 * unit <= sum(few) < sum(earnings.due(small, wishes[:3]))
+    assert earnings.over_time(wishes, [1.0, 2.0, 3.0, 4.0], 0.0) == [6.0, 4.0]
 
 
 def test_each_part_of_the_measurement_ends_with_its_figures() -> None:
