Set up the log only once a control process begins

Seen alone: test_exits passed by itself and failed behind that test. Change: set_up_log directly before the process runs.

--- a/cleatyoke/distribution/__main__.py
+++ b/cleatyoke/distribution/__main__.py
@@ -65,6 +65,7 @@
         number = next_epoch(epoch)
     except (BadEpoch, OSError) as error:
         raise click.ClickException(f"--epoch: {error}") from error
+    set_up_log()
     asyncio.run(run_source(Source(deployment, "source", number, most), Folder(folder), listen))
 
 
@@ -97,6 +98,7 @@
 def relay(listen: Address, deployment: str, most: int, name: str, upstream: Sequence[Address]) -> None:
     """Answer fronts with what a source, or another relay, has."""
     tiers = [[str(one) for one in upstream]]
+    set_up_log()
     asyncio.run(run_relay(Relay(deployment, name, tiers, random.Random(name), most), listen))
 
 
@@ -121,7 +123,6 @@
 def main(words: Sequence[str] | None = None) -> int:
     """Returns the exit status; 2, after one line that begins with the option's name, for a bad option."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it, it would end the process
-    set_up_log()
     try:
         return run_command(commands, words, "python -m cleatyoke.distribution")
     except OSError as error:
