--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -177,6 +177,8 @@
 
     async def test_one_spoilt_entry_refuses_a_long_list_as_a_whole(self) -> None:
         watch = self.begin()
+        self.addCleanup(gc.enable if gc.isenabled() else gc.disable)
+        gc.enable()  # importing the daemon leaves it off
         await watch.take_text(nodes.list_text(2000))
         before, self.news[:] = shown(self.directory), []
         value = json.loads(nodes.list_text(3000, version=2, draining=2000))
