Take holds from the disk as soon as they are read, before the new boot number is written

Callers saw requests at a node under repair after a loss of power ("hold: ... reached s-00x after front ... heard"): accepted requests of a held node ended with it.

- The thread handed over what it had read only after it had written the new boot number to two files with full synchronisation.
A start whose write was slower than the stage's 0.5 s served without holds, though they were in memory.
Now reading and writing are two events: holds and peers count once read, the boot number once it is written (no later process may use it again).
- What came between the view's making and the opening of its sockets was merged, but neither applied to the nodes nor was the boot number raised.
- A loop that ran late got evidence and bound in one turn, and the bound won ("passed='disk' by='bound'" with a disk that had answered in time): the evidence is asked for at the bound now.

--- a/cleatyoke/durability/writer.py
+++ b/cleatyoke/durability/writer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -14,8 +15,8 @@
 
 from cleatyoke.durability.records import FrontState, LoadedState, StorageProblem, next_boot_number
 
-RETRY_DELAY = 1.0  # seconds until a failed write is repeated
 FLUSH_TIMEOUT = 0.3  # seconds that an orderly exit waits at the most for the last write
+RETRY_DELAY = 1.0  # seconds until a failed write is repeated
 COPIES = 2  # files that a store writes; a state in one of them is durable
 
 
@@ -55,9 +56,10 @@
     """A daemon thread between the event loop and a ``StateStore``.
 
     Thread boundaries: ``start``, ``submit`` and ``stop`` are called from the event loop. They don't wait for
-    the disk, but for ``stop``, which waits ``FLUSH_TIMEOUT`` at the most. ``is_written`` and the counters may
-    be read from any thread. ``on_restored`` (once) and ``on_problems_changed`` (at each change of the failing
-    files; an empty list when all work again) are called on the writer's thread.
+    the disk, but for ``stop``, whose wait has a bound. ``is_written`` and the counters may be read from any
+    thread. ``on_loaded`` (once, as soon as the files were read), ``on_restored`` (once, after the new boot
+    number was written) and ``on_problems_changed`` (at each change of the failing files; an empty list when
+    all work again) are called on the writer's thread.
 
     ``wall_clock`` returns Unix time.
     """
@@ -68,11 +70,13 @@
         wall_clock: Callable[[], float],
         on_restored: Callable[[RestoredState], None],
         on_problems_changed: Callable[[list[StorageProblem]], None],
+        on_loaded: Callable[[LoadedState], None] = lambda _: None,
     ) -> None:
         self.store = store
         self.wall_clock = wall_clock
         self.on_restored = on_restored
         self.on_problems_changed = on_problems_changed
+        self.on_loaded = on_loaded
         self.submitted = 0  # number of the last write that was submitted
         self.written = 0  # number of the last write that is durable
         self.problems: list[StorageProblem] = []  # of the last write
@@ -99,12 +103,15 @@
         """Whether this write, or a later one, is durable."""
         return self.written >= number
 
-    def stop(self) -> None:
-        """Write what waits and end the thread, or leave it behind after ``FLUSH_TIMEOUT``."""
+    def stop(self, seconds_left: float = math.inf) -> None:
+        """Write what waits and end the thread, or leave it behind.
+
+        Waits ``FLUSH_TIMEOUT`` at the most, and no longer than the ``seconds_left``.
+        """
         with self._condition:
             self._stopping = True
             self._condition.notify()
-        self.thread.join(FLUSH_TIMEOUT)
+        self.thread.join(min(FLUSH_TIMEOUT, max(0.0, seconds_left)))
 
     def _run(self) -> None:
         self._restore()
@@ -115,6 +122,7 @@
 
     def _restore(self) -> None:
         loaded = self.store.load()
+        self.on_loaded(loaded)  # before the write, which may be slow: holds count as soon as they are read
         was_found = loaded.state.boot_number > 0
         boot_number = next_boot_number(loaded.state.boot_number, self.wall_clock())
         state = replace(loaded.state, boot_number=boot_number)
--- a/cleatyoke/fleet/startup.py
+++ b/cleatyoke/fleet/startup.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 import structlog
 
@@ -41,36 +41,48 @@
         After the bound it is returned while it is still being read.
         """
         if fleet_settings.durable_folder is None:
-            await self._wait_for(StartStage.DISK, _evidence("none kept"))
+            await self._wait_for(StartStage.DISK, asyncio.sleep(0), lambda: "none kept")
             return None
         durable_state = DurableState(
             fleet_settings.durable_folder, f"{fleet_settings.deployment}/{name}", faults
         )
-        await self._wait_for(StartStage.DISK, durable_state.wait_until_restored())
+        await self._wait_for(
+            StartStage.DISK, durable_state.wait_until_restored(), durable_state.describe_restored
+        )
         return durable_state
 
     async def wait_for_peers(self, view: FleetView) -> None:
         """Wait for a peer's full state."""
-        await self._wait_for(StartStage.PEERS, view.wait_for_peer())
+        await self._wait_for(StartStage.PEERS, view.wait_for_peer(), view.describe_peer)
 
     async def wait_for_endpoint_list(self, *, has_cached_list: bool, received: asyncio.Event) -> None:
         """Wait for discovery's first endpoint list, unless there is a cached one. ``received``: it came."""
-        if has_cached_list and not received.is_set():
-            evidence = _evidence("an old list")
-        else:
-            evidence = _evidence_after(received, "discovery")
-        await self._wait_for(StartStage.ENDPOINT_LIST, evidence)
+
+        def describe() -> str | None:
+            if received.is_set():
+                return "discovery"
+            return "an old list" if has_cached_list else None
+
+        awaited = asyncio.sleep(0) if has_cached_list else received.wait()
+        await self._wait_for(StartStage.ENDPOINT_LIST, awaited, describe)
 
     def status_lines(self) -> list[str]:
         """The answer to ``show-recovery``."""
         return self.staged_start.status_lines(self.loop.time())
 
-    async def _wait_for(self, stage: StartStage, evidence: Awaitable[str]) -> None:
-        """Wait until this stage's evidence comes or its bound is reached; evidence is then dropped."""
+    async def _wait_for(
+        self, stage: StartStage, awaited: Awaitable[object], describe: Callable[[], str | None]
+    ) -> None:
+        """Wait until this stage's evidence comes or its bound is reached.
+
+        ``describe`` returns the evidence, or None where it has not come. It is asked at the bound too: where
+        the loop runs late, the evidence and the bound come in one turn of it, and the evidence counts.
+        """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(self.staged_start.stage_ends_at()):
-                self._step(Evidence(stage, await evidence))
-        self._step()
+                await awaited
+        description = describe()
+        self._step(*([Evidence(stage, description)] if description is not None else []))
         if self.staged_start.stage is StartStage.OLD_LEASES:
             self.loop.call_at(self.staged_start.stage_ends_at(), self._step)
 
@@ -83,12 +95,3 @@
                 by=passed.passed_by,
                 waited=round(passed.waited_seconds, 3),
             )
-
-
-async def _evidence(description: str) -> str:
-    return description
-
-
-async def _evidence_after(event: asyncio.Event, description: str) -> str:
-    await event.wait()
-    return description
--- a/cleatyoke/fleet/view.py
+++ b/cleatyoke/fleet/view.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 import time
 from collections import Counter
@@ -102,7 +103,8 @@
             faults, "fleet_limits", LEASE_INTERVAL, self.lease_trading.update_demand
         )
         self.differing_fronts: list[str] = []  # that run with other settings, as last logged
-        self.durable_state: DurableState | None = None  # set once the disk has been read
+        self.durable_state: DurableState | None = None  # set where there is one, read or not
+        self._stored_boot_number = 0  # as the disk has it, where it came before the sockets were open
         self.peer_state_received = asyncio.Event()
 
     # Start and stop
@@ -119,13 +121,17 @@
             self.sockets.start_claiming()
         self.settings_timer.start()
         self.step()
+        self.raise_boot_number(self._stored_boot_number)
 
-    def stop(self) -> None:
-        """Tell the others that this process leaves, and end everything: it uses nothing more from here on."""
+    def stop(self, seconds_left: float = math.inf) -> None:
+        """Tell the others that this process leaves, and end everything: it uses nothing more from here on.
+
+        ``seconds_left``: until the process has to exit, for a wait for the last write to the disk.
+        """
         with self.faults.contain("fleet_leave"):
             self.step(LeaveRequested())
         if self.durable_state:
-            self.durable_state.stop()
+            self.durable_state.stop(seconds_left)
         if self.step_timer:
             self.step_timer.cancel()
         for timer in (self.lease_timer, self.settings_timer):
@@ -138,12 +144,16 @@
         """Close both sockets, if they are open."""
         self.sockets.close()
 
-    async def wait_for_peer(self) -> str:
-        """Wait until a peer's full state has come; returns by what, for the log of the start."""
-        if not self.membership.other_seeds():
-            return "nobody to ask"
-        await self.peer_state_received.wait()
-        return "a peer"
+    async def wait_for_peer(self) -> None:
+        """Wait until a peer's full state has come, where there is a peer to ask."""
+        if self.membership.other_seeds():
+            await self.peer_state_received.wait()
+
+    def describe_peer(self) -> str | None:
+        """By what the wait for a peer is over, for the log of the start; None while it is not."""
+        if self.peer_state_received.is_set():
+            return "a peer"
+        return None if self.membership.other_seeds() else "nobody to ask"
 
     # What arrives
 
@@ -203,28 +213,33 @@
             folder,
             self.faults,
             on_local_change=self._push_holds,
-            save_state=self._save_state,
+            save_state=self.save_state,
         ).start()
 
     def _push_holds(self) -> None:
         self.membership.push_local_change()
         self.step()
 
-    def _save_state(self) -> None:
+    def save_state(self) -> None:
+        """Have what changed written to the disk, where there is one."""
         if self.durable_state:
             self.durable_state.save()
 
     def restore_state(self, state: FrontState) -> None:
-        """Take what the disk says, which may come after the start.
+        """Take the holds and peers that the disk has, which may come after the start.
 
         Peers that this front knew before are asked too, as its seeds may be down.
         """
         self.hold_replication.holds = self.hold_replication.holds.merge(state.holds)
         seeds = self.membership.seeds
         seeds += [peer for peer in state.peers if peer not in seeds][:MAX_REMEMBERED_PEERS]
-        if self.sockets.is_open():  # the disk answered late
-            self.step(BootNumberRecovered(state.boot_number))
-            self.hold_replication.on_change(self.hold_replication.holds.held_nodes(), frozenset())
+        self.hold_replication.on_change(self.hold_replication.holds.held_nodes(), frozenset())
+
+    def raise_boot_number(self, boot_number: int) -> None:
+        """Go beyond the boot number that the disk has, which may come after the start."""
+        self._stored_boot_number = boot_number
+        if boot_number > self.membership.id.boot and self.sockets.is_open():
+            self.step(BootNumberRecovered(boot_number))
 
     def state_to_save(self, before: FrontState) -> FrontState:
         """Return what is to outlive a loss of power. ``before``: what was saved last."""
--- a/cleatyoke/process/lifecycle.py
+++ b/cleatyoke/process/lifecycle.py
@@ -26,6 +26,7 @@
 )
 ATTEMPTS_FOR_LAST_REQUEST = 2.0  # a first attempt and a retry, of the shortest latency objective each
 EXIT_MARGIN = 0.15  # seconds for the exit itself: the last log line and the end of the interpreter
+FLUSH_MARGIN = 0.05  # seconds of the exit margin for the last write to the disk
 
 
 class Stage(Enum):
@@ -118,6 +119,10 @@
             return math.inf
         return self.shutdown_requested_at + self.deadlines.answers_due
 
+    def flush_due_at(self) -> float:
+        """Return until when the exit may wait for the disk; infinite before a shutdown."""
+        return self.answers_due_at() + FLUSH_MARGIN
+
     def step(self, now: float, connections: int, *, file_service_is_closing: bool) -> list[ShutdownStep]:
         """Return the steps that are due, each once; ``connections``: those still open."""
         if self.shutdown_requested_at is None:
--- a/tests/test_staged_start.py
+++ b/tests/test_staged_start.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import threading
+import time
 from collections.abc import Iterable
 from pathlib import Path
 from unittest import mock
@@ -23,12 +24,13 @@
     StagePassed,
     StartStage,
 )
-from cleatyoke.durability.records import FrontState, LoadedState
+from cleatyoke.durability.records import FrontState, LoadedState, StorageProblem
 from cleatyoke.durability.store import StateDatabase
 from cleatyoke.fleet.startup import StagedStartRunner
 from cleatyoke.fleet.view import FleetView
 from cleatyoke.membership.wire import MemberId
 from cleatyoke.process.faults import Faults
+from cleatyoke.process.lifecycle import EXIT_MARGIN, FLUSH_MARGIN
 from cleatyoke.process.metrics import Metrics
 
 OLD_LEASES_END = 2.05  # seconds from the start
@@ -157,3 +159,123 @@
     view.stop()
     assert faults.metrics.faults == 0
     assert StateDatabase(folder, "ours/n1").load().state.boot_number == (1 << 52) + 2
+
+
+def test_holds_count_once_they_are_read_though_the_write_of_the_boot_number_hangs(tmp_path: Path) -> None:
+    """Guards against requests to a held node: holds were kept back until a slow write was done."""
+    asyncio.run(start_beside_a_disk_whose_writes_hang(tmp_path), debug=True)
+
+
+async def start_beside_a_disk_whose_writes_hang(folder: Path) -> None:
+    disk_writes = threading.Event()
+    stored = FrontState(HoldSet().hold(MemberId("n1", 5), "s-003"), 1 << 52)
+
+    class HangingWrites(StateDatabase):
+        def load(self) -> LoadedState:
+            return LoadedState(stored, [])
+
+        def save(self, state: FrontState) -> list[StorageProblem]:
+            disk_writes.wait(10)
+            return super().save(state)
+
+    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
+    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    faults = Faults(Metrics())
+    startup = StagedStartRunner()
+    with mock.patch("cleatyoke.fleet.restore.StateDatabase", HangingWrites):
+        durable_state = await startup.restore_durable_state(peers, "n1", faults)
+    assert durable_state
+    view = FleetView(peers, "n1", 1, 1, faults, durable_state.state.boot_number)
+    durable_state.attach(view)
+    assert view.hold_replication.holds.held_nodes() == {"s-003"}
+    await view.start()
+    # A hold that only this process's memory has is not reported as stored.
+    assert not view.holds_are_on_disk()
+    disk_writes.set()
+    async with asyncio.timeout(5):
+        while not view.holds_are_on_disk():  # noqa: ASYNC110 - set by a thread
+            await asyncio.sleep(0.01)
+    assert view.membership.id.boot > 1 << 52
+    view.stop()
+    assert faults.metrics.faults == 0
+
+
+def test_what_the_disk_answers_while_the_sockets_are_opened_is_taken_in(tmp_path: Path) -> None:
+    """Guards against a lost boot number and a hold without effect: both came before the sockets were open."""
+    asyncio.run(answer_while_sockets_open(tmp_path), debug=True)
+
+
+async def answer_while_sockets_open(folder: Path) -> None:
+    stored = FrontState(HoldSet().hold(MemberId("n1", 5), "s-003"), 1 << 52)
+    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
+    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    faults = Faults(Metrics())
+    view = FleetView(peers, "n1", 1, 1, faults)
+    changed: list[frozenset[str]] = []
+    view.hold_replication.on_change = lambda held, _released: changed.append(held)
+    view.restore_state(stored)
+    view.raise_boot_number(stored.boot_number)
+    await view.start()
+    assert changed == [frozenset({"s-003"})]
+    assert view.membership.id.boot > 1 << 52
+    view.stop()
+    assert faults.metrics.faults == 0
+
+
+def test_evidence_that_comes_in_the_turn_of_the_bound_counts(tmp_path: Path) -> None:
+    """Guards against a stage passed by its bound, though its evidence was there: the loop had run late."""
+    asyncio.run(pass_a_stage_late(tmp_path), debug=True)
+
+
+async def pass_a_stage_late(folder: Path) -> None:
+    disk_writes = threading.Event()
+    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
+    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    startup = StagedStartRunner()
+
+    def block_past_the_bound() -> None:
+        disk_writes.set()
+        time.sleep(STAGE_BOUNDS[StartStage.DISK])
+
+    startup.loop.call_later(0.05, block_past_the_bound)
+    with mock.patch("cleatyoke.fleet.restore.StateDatabase", hanging_writes(disk_writes, first=1)):
+        await startup.restore_durable_state(peers, "n1", Faults(Metrics()))
+    assert [one.passed_by for one in startup.staged_start.passed] == ["nothing found"]
+
+
+def test_an_exit_waits_for_a_slow_disk_no_longer_than_it_has_time_for(tmp_path: Path) -> None:
+    """Guards against an exit after SIGKILL: the wait for the last write was longer than the exit's margin."""
+    asyncio.run(stop_beside_a_slow_disk(tmp_path), debug=True)
+
+
+async def stop_beside_a_slow_disk(folder: Path) -> None:
+    disk_writes = threading.Event()
+    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
+    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    startup = StagedStartRunner()
+    with mock.patch("cleatyoke.fleet.restore.StateDatabase", hanging_writes(disk_writes, first=2)):
+        durable_state = await startup.restore_durable_state(peers, "n1", Faults(Metrics()))
+    assert durable_state
+    view = FleetView(peers, "n1", 1, 1, Faults(Metrics()))
+    durable_state.attach(view)
+    await view.start()
+    view.hold_replication.hold("s-003")
+    began = startup.loop.time()
+    view.stop(seconds_left=FLUSH_MARGIN)
+    assert startup.loop.time() - began < EXIT_MARGIN
+    disk_writes.set()
+
+
+def hanging_writes(disk_writes: threading.Event, first: int) -> type[StateDatabase]:
+    """A database whose ``first`` write (1: that of the start), and each later one, waits for the event."""
+    writes = 0
+
+    class HangingWrites(StateDatabase):
+        def save(self, state: FrontState) -> list[StorageProblem]:
+            nonlocal writes
+            writes += 1
+            if writes >= first:
+                disk_writes.wait(10)
+            return super().save(state)
+
+    return HangingWrites
