Wait for the disk at an exit only as long as SIGKILL leaves time

Callers saw connections reset at the end of a restart ("exit: front 0 was not gone before its kill"): the exit waited up to 0.3 s for the last write, the margin of the exit is 0.15 s, so that with a slow disk the process was still there at SIGKILL.

The steps of a shutdown and the line "left" log the seconds left until answers are due, so that a late exit can be told from a late signal.

--- a/cleatyoke/process/daemon.py
+++ b/cleatyoke/process/daemon.py
@@ -206,10 +206,17 @@
         await self.shutdown_requested.wait()
         log.info("leaving", open=len(self.core.pending))
         self.http_server.begin_shutdown(self._seconds_until_answers_due())
+        if self.fleet:
+            self.fleet.save_state()  # now, so that a slow disk does not hold up the exit
         await self._shut_down()
         # ``down`` is not counted at the exit: it is always 0 in this line.
         stat_lines = self.metrics.stat_lines(list(self.config.classes), len(self.directory.instances), 0)
-        log.info("left", faults=self.metrics.faults, figures=" ".join(stat_lines))
+        log.info(
+            "left",
+            faults=self.metrics.faults,
+            seconds_left=round(self._seconds_until_answers_due(), 3),
+            figures=" ".join(stat_lines),
+        )
         self.lifecycle.finish()
 
     def _seconds_until_answers_due(self) -> float:
@@ -223,6 +230,8 @@
                 self.loop.time(), self.http_server.open_connections(), file_service_is_closing=is_closing
             )
             for step in steps:
+                seconds_left = round(self._seconds_until_answers_due(), 3)
+                log.info("shutdown_step", step=step.value, seconds_left=seconds_left)
                 with self.faults.contain(step.value):
                     self._carry_out(step)
             if self.lifecycle.stage is Stage.CLOSING:
@@ -250,7 +259,7 @@
         """Release each resource by itself: one that fails must not keep the others, nor fail the exit."""
         steps = {  # by the name that a fault of the step has in the log
             "discovery": self.discovery.stop,
-            "fleet": self.fleet.stop if self.fleet else None,
+            "fleet": self._stop_fleet if self.fleet else None,
             "distribution": self.subscription.stop if self.subscription else None,
             "probes": self.probes.stop if self.probes else None,
             "boxes": self.backends.close,
@@ -264,6 +273,11 @@
                 with self.faults.contain(name):
                     release()
 
+    def _stop_fleet(self) -> None:
+        """Leave the fleet, and wait for the disk no longer than the exit has time for."""
+        assert self.fleet
+        self.fleet.stop(self.lifecycle.flush_due_at() - self.loop.time())
+
 
 async def run(config: Config, fronts_file: Path = FRONTS_FILE) -> ExitStatus:
     """Run one process from its start to its end.
