Keep no ordering pause for requests without an item

Callers: one failed request of an ordered class that names no item held up every unordered request of the front for KeyRestS seconds; any client could cause it for all others.

Cause: the pause was written and looked up under the request's key, which is None for an ordered request without item and for every unordered one alike. A request without a key is now neither checked nor does it pause.

--- a/cleatyoke/scheduling/ordering.py
+++ b/cleatyoke/scheduling/ordering.py
@@ -12,13 +12,14 @@
 
     Symptom without it: two writes to one item overtake each other, and the older one's data stays. Why it
     works: a request keeps its place until it is closed and nothing of it is in flight, and after an
-    attempt that may still be executing the key is paused for ``ordering_pause`` seconds.
+    attempt that may still be executing the key is paused for ``ordering_pause`` seconds. A request that is
+    not of an ordered class, or names no item, has no key: it neither waits nor makes others wait.
     """
 
     def __init__(self, state: SchedulerState) -> None:
         self._state = state
         self.open_requests: dict[int, list[Request]] = {}  # by key, oldest first
-        self.paused_until: dict[int | None, float] = {}
+        self.paused_until: dict[int, float] = {}
 
     def add(self, request: Request) -> None:
         """Note a request that arrived."""
@@ -36,15 +37,15 @@
 
     def pause_key(self, request: Request) -> None:
         """Pause the key: an attempt has ended that may still be executing."""
-        # Known fault, kept as it was: the key is None for every unordered request, and also for one of an
-        # ordered class without an item. The latter pauses all unordered requests.
-        ends_at = self._state.now + self._state.safety.ordering_pause
-        self.paused_until[request.order_key] = ends_at if request.request_class.ordered else 0.0
+        if request.order_key is not None:
+            self.paused_until[request.order_key] = self._state.now + self._state.safety.ordering_pause
 
     def check(self, request: Request) -> Verdict:
         """When the request may be sent as far as its key says."""
         key = request.order_key
-        if key is not None and self.open_requests[key][0] is not request:
+        if key is None:
+            return ALLOWED
+        if self.open_requests[key][0] is not request:
             return Verdict(NEVER, Rule.KEY_ORDER)
         paused_until = self.paused_until.get(key, 0.0)
         return ALLOWED if paused_until <= self._state.now else Verdict(paused_until, Rule.KEY_ORDER)
