--- a/cleatyoke/simulator.py
+++ b/cleatyoke/simulator.py
@@ -174,7 +174,8 @@
         elif kind == "HEALTH":
             self._read_probe(instance_id, event, pending)
         elif kind == "BELL" and event["Ref"] == PROBE_TIMER_TOKEN:
-            pending.setdefault(instance_id, [])
+            if instance_id in self.schedulers:  # the timers of a stopped instance still fire
+                pending.setdefault(instance_id, [])
         elif kind not in IGNORED_EVENTS:
             self._read_for_scheduler(instance_id, event, pending)
 
