Name the key of a number beyond floats, and refuse amounts below 0 or over 1e15

Operators saw an OverflowError in place of the key, as math.isfinite raises for such an integer. The same fault stood in the endpoint list (also NaN and Infinity as startedAtMs), the hold file and the simulator's clock.

--- a/cleatyoke/config/settings.py
+++ b/cleatyoke/config/settings.py
@@ -83,16 +83,16 @@
         plans=plans,
         safety=_read_safety_limits(safety),
         seed=seed,
-        front_count=int(root.number("Siblings", 0)),
+        front_count=int(root.amount("Siblings", 0)),
         watches_endpoints=facts.get("Discovery") == "subscribe",
         max_attempts=limits.integer("SendCap", 1, 1000),
         can_cancel=limits.boolean("Cancel"),
-        slow_start_units=extra.number("ColdUnits", 0.0),
-        max_request_units=extra.number("Largest", 0.0),
-        mean_request_units=extra.number("MeanUnits", 0.0),
+        slow_start_units=extra.amount("ColdUnits", 0.0),
+        max_request_units=extra.amount("Largest", 0.0),
+        mean_request_units=extra.amount("MeanUnits", 0.0),
         reports_usage_by_others=extra.boolean("SaysOthers"),
-        unreserved_value=extra.number("WithinShare", 0.0),
-        max_retry_after=limits.number("MaxRetryAfterS", 0.0) if limits.boolean("RetryAfter") else 0.0,
+        unreserved_value=extra.amount("WithinShare", 0.0),
+        max_retry_after=limits.amount("MaxRetryAfterS", 0.0) if limits.boolean("RetryAfter") else 0.0,
         load_by_probes=has_load_probes and any(name in report.items("Fields", []) for name in LOAD_FIELDS),
     )
 
@@ -100,38 +100,38 @@
 def _read_class(table: TableReader) -> RequestClass:
     return RequestClass(
         latency_objective=table.positive("AimS"),
-        priority_weight=table.number("Worth"),
-        late_value=table.number("LateShare", 0.0),
+        priority_weight=table.amount("Worth"),
+        late_value=table.amount("LateShare", 0.0),
         idempotency=table.one_of("Repeat", IDEMPOTENCY_NAMES),
         idempotency_scope=table.one_of("DedupScope", IDEMPOTENCY_SCOPE_NAMES, "all"),
-        idempotency_window=table.number("MemorySpanS", 0.0),
+        idempotency_window=table.amount("MemorySpanS", 0.0),
         ordered=table.boolean("ByArrival"),
     )
 
 
 def _read_plan(table: TableReader) -> VolumePlan:
     return VolumePlan(
-        priority_weight=table.number("WorthFactor"),
-        base_rate=table.number("BaseRate", 0.0),
-        reserved_rate=table.number("FloorRate", 0.0),
-        fair_share_weight=table.number("Proportion"),
-        rate_limit=table.number("Limit", 0.0),
-        rate_limit_burst=table.number("LimitBurst", 0.0),
-        rate_limit_slack=table.number("CapSlack", 0.0),
+        priority_weight=table.amount("WorthFactor"),
+        base_rate=table.amount("BaseRate", 0.0),
+        reserved_rate=table.amount("FloorRate", 0.0),
+        fair_share_weight=table.amount("Proportion"),
+        rate_limit=table.amount("Limit", 0.0),
+        rate_limit_burst=table.amount("LimitBurst", 0.0),
+        rate_limit_slack=table.amount("CapSlack", 0.0),
     )
 
 
 def _read_safety_limits(table: TableReader) -> SafetyLimits:
     def optional(key: str) -> float | None:
-        return None if table.values.get(key) is None else table.number(key)
+        return None if table.values.get(key) is None else table.amount(key)
 
     return SafetyLimits(
-        slow_start_initial_fraction=table.number("ColdFrom", 0.0),
-        slow_start_duration=table.number("RampTimeS", 0.0),
-        overload_multiple=table.number("TipMultiple", 0.0),
-        overload_after=table.number("TipAfterS", 0.0),
+        slow_start_initial_fraction=table.amount("ColdFrom", 0.0),
+        slow_start_duration=table.amount("RampTimeS", 0.0),
+        overload_multiple=table.amount("TipMultiple", 0.0),
+        overload_after=table.amount("TipAfterS", 0.0),
         poll_interval=optional("AskEveryS"),
-        ordering_pause=table.number("KeyRestS", 0.0),
+        ordering_pause=table.amount("KeyRestS", 0.0),
         retry_budget_minimum=optional("FreeResends"),
         retry_budget_ratio=optional("ExtraRatio"),
         retry_budget_window=optional("LookBackS"),
@@ -147,7 +147,7 @@
         changes_data=[bool(value) for value in extra.items("ChangesData", [])],
         shard_count=extra.integer("Shards", 0, 1 << 31, 0),
         zones={str(zone): index for index, zone in enumerate(facts.items("Areas", []))},
-        connect_timeout=limits.number("DialTimeoutS", DEFAULT_CONNECT_TIMEOUT),
-        idle_timeout=limits.number("IdleCloseS", DEFAULT_IDLE_TIMEOUT),
-        drain_grace=facts.table("Safety", {}).number("StopSendingWithinS", DEFAULT_DRAIN_GRACE),
+        connect_timeout=limits.amount("DialTimeoutS", DEFAULT_CONNECT_TIMEOUT),
+        idle_timeout=limits.amount("IdleCloseS", DEFAULT_IDLE_TIMEOUT),
+        drain_grace=facts.table("Safety", {}).amount("StopSendingWithinS", DEFAULT_DRAIN_GRACE),
     )
--- a/cleatyoke/config/table.py
+++ b/cleatyoke/config/table.py
@@ -10,6 +10,9 @@
 from cleatyoke.config.addresses import Address, read_address
 from cleatyoke.config.errors import ConfigError
 
+MAX_AMOUNT = 1e15  # a whole number up to it is exact as a float
+MAX_SHOWN = 80  # characters of a wrong value in an error
+
 
 @dataclass(slots=True)
 class TableReader:
@@ -41,12 +44,23 @@
         return default if value is None else value
 
     def number(self, key: str, default: float | None = None) -> float:
-        """Read a finite number."""
+        """Read a number that a float can hold."""
         value = self.get(key, default)
         if value is not default and not is_finite_number(value):
-            raise self.error(key, f"want a number, found {value!r}")
+            raise self.error(key, f"want a number, found {_shown(value)}")
         return float(value)
 
+    def amount(self, key: str, default: float | None = None) -> float:
+        """Read a number from 0 to ``MAX_AMOUNT``: a rate, a time, a size, a weight.
+
+        A negative one would turn decisions round, and sums of greater ones leave what floats can hold.
+        """
+        value = self.number(key, default)
+        if not 0 <= value <= MAX_AMOUNT:
+            found = _shown(self.values.get(key))
+            raise self.error(key, f"want a number from 0 to {MAX_AMOUNT:g}, found {found}")
+        return value
+
     def positive(self, key: str, default: float | None = None) -> float:
         """Read a finite number above 0; the default may be infinite ("not stated").
 
@@ -127,5 +141,16 @@
 
 
 def is_finite_number(value: Any) -> bool:
-    """Return whether a value is an integer or a finite float, and no boolean."""
-    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+    """Return whether a value is an integer or float, but no boolean, that a finite float can hold."""
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    try:
+        return math.isfinite(value)
+    except OverflowError:  # an integer of hundreds of digits
+        return False
+
+
+def _shown(value: Any) -> str:
+    """Return a value as an error shows it, cut where it is long."""
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]}..."
--- a/cleatyoke/discovery/listings.py
+++ b/cleatyoke/discovery/listings.py
@@ -17,6 +17,7 @@
 
 from cleatyoke.config.addresses import read_address
 from cleatyoke.config.errors import ConfigError
+from cleatyoke.config.table import is_finite_number
 from cleatyoke.discovery.directory import EndpointList, Instance
 from cleatyoke.discovery.errors import InvalidListError, ListTooLongError
 from cleatyoke.scheduling.events import EndpointState, decode_shard
@@ -153,7 +154,7 @@
     if shard_number is not None and (isinstance(shard_number, bool) or not isinstance(shard_number, int)):
         msg = f"cell: want a whole number, found {shard_number!r}"
         raise InvalidListError(msg)
-    if isinstance(started, bool) or not isinstance(started, int | float):
+    if not is_finite_number(started):
         msg = f"startedAtMs: want a number, found {started!r}"
         raise InvalidListError(msg)
     try:
--- a/cleatyoke/discovery/operator_holds.py
+++ b/cleatyoke/discovery/operator_holds.py
@@ -61,7 +61,7 @@
             values = json.loads(text)
             held = [str(name) for name in values["held"]]
             released = {str(name): float(when) for name, when in values["released"].items()}
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except (ValueError, OverflowError, KeyError, TypeError, AttributeError):
             return HoldChanges([], [])
         newly_held = [name for name in held if name not in self.held]
         newly_released = [name for name in self.held if name not in held]
--- a/cleatyoke/simulator.py
+++ b/cleatyoke/simulator.py
@@ -150,7 +150,7 @@
             steps: list[dict[str, Any]] = []
             for event in news:
                 self._read(event, pending)
-        except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError, IndexError, AttributeError) as error:
             msg = f"malformed batch: {type(error).__name__}: {error}"
             raise MalformedBatchError(msg) from error
         for instance_id, events in pending.items():
