Take in a first answer that took no time

Callers: an exception in the scheduler's step, so that every request of that step was answered at its deadline only. Cause: with an answer of 0.0 s, within the clock's resolution, no class has a known service time, and the minimum of nothing was asked for. The node's own time stands for it then; a service time that would fall below what may be divided by counts as unknown.

--- a/cleatyoke/scheduling/service_estimates.py
+++ b/cleatyoke/scheduling/service_estimates.py
@@ -6,6 +6,8 @@
 from cleatyoke.scheduling.regression import mean_of_short_values
 from cleatyoke.scheduling.state import SchedulerState
 
+MIN_SERVICE_TIME = 1e-15  # seconds a unit: below it a class counts as not known, as costs are divided by it
+
 
 class ServiceEstimates:
     """Tell service from queueing in the time that answers take.
@@ -49,9 +51,11 @@
         index = request.class_index
         per_unit = elapsed / request.units
         learned = mean_of_short_values(self.service_times[index] or per_unit, per_unit)
-        self.service_times[index] = learned or None
+        self.service_times[index] = learned if learned > MIN_SERVICE_TIME else None
         work = request.units * self.relative_cost(index)
-        known = node.service_time_per_unit or min(one for one in self.service_times if one)
+        # An answer within the clock's resolution leaves all service times unknown.
+        fastest = min((known for known in self.service_times if known), default=elapsed / work)
+        known = node.service_time_per_unit or fastest
         node.service_time_per_unit = mean_of_short_values(known, elapsed / work)
         queued = max(0.0, elapsed - node.service_time_per_unit * work)
         # Requests of the largest size may be larger than stated, so they tell of no longer queue.
