Let requests wait for a share of their quota where the process has none

Callers: while another process of the front had all of its quotas, each step with a queued request of a limited volume raised ZeroDivisionError, and every request of the front was answered at its deadline only. Cause: the wait is what is missing over the rate, and the rate was 0. No time is due then; the queues are looked at again when the share grows. The same for a volume's lease whose multiplier grows, where the wait could be years.

A new object whose holders are all gone divides its share by one now.

--- a/cleatyoke/scheduling/admission.py
+++ b/cleatyoke/scheduling/admission.py
@@ -36,10 +36,19 @@
         self._multipliers = QuotaLeaseMultipliers()
 
     def on_lease_changed(self, event: QuotaLeaseChanged) -> None:
-        """Set the lease multiplier on this front's even share of a volume's limit."""
+        """Set the lease multiplier on this front's even share of a volume's limit.
+
+        Where it has grown, what waits for the limit may go earlier than its nodes would look.
+        """
         state = self._state
+        volume = state.volumes.get(event.volume_id)
+        has_grown = volume is not None and event.multiplier > volume.lease_clock.fraction
         now = state.quota_clock.time(state.now)
         self._multipliers.change(event.volume_id, event.multiplier, state.volumes, now)
+        if has_grown:
+            for shard, queue in state.queues.items():
+                if any(request.volume is volume for request in queue):
+                    state.offer(shard)
 
     def add_volume(self, volume_id: int, plan: VolumePlan, front_count: int, reserve: TokenBucket) -> Volume:
         """Add a volume that is used for the first time, with the bucket of its limit."""
@@ -73,8 +82,10 @@
         missing = request.units - bucket.level
         if missing <= 0:
             return ALLOWED
-        wait = missing / (rate * fraction * max(lease_clock.fraction, MIN_MULTIPLIER))
-        return Verdict(state.now + wait, Rule.RATE_LIMIT)
+        fill_rate = rate * fraction * max(lease_clock.fraction, MIN_MULTIPLIER)
+        if not fill_rate:  # until the process has a share of its quotas again
+            return Verdict(NEVER, Rule.RATE_LIMIT)
+        return Verdict(state.now + missing / fill_rate, Rule.RATE_LIMIT)
 
 
 class ReservedRates:
@@ -183,7 +194,7 @@
             return ALLOWED
         now = self._state.now
         is_new_object = request.shard is None
-        places = request.front_count * (len(self._state.table.holders) if is_new_object else 1)
+        places = request.front_count * (max(1, len(self._state.table.holders)) if is_new_object else 1)
         is_wanted = self.value(request, node) > 0 and (
             not is_new_object or self._estimates.meets_objective(request, node)
         )
--- a/cleatyoke/scheduling/endpoint_updates.py
+++ b/cleatyoke/scheduling/endpoint_updates.py
@@ -35,8 +35,7 @@
             self._apply_endpoint(endpoint)
         for before in state.table.choose_holders(slow_start.is_warming):
             state.nodes_to_offer.pop(before.id, None)
-        for shard in state.queues:  # where nothing is queued, a new holder has nothing to take
-            state.offer(shard)
+        state.offer_all()  # where nothing is queued, a new holder has nothing to take
 
     def _apply_endpoint(self, endpoint: Endpoint) -> None:
         state, table = self._state, self._state.table
--- a/cleatyoke/scheduling/retries.py
+++ b/cleatyoke/scheduling/retries.py
@@ -44,8 +44,7 @@
         if self._state.safety.retry_budget_window is None:
             return
         self._accepted_at.append(self._state.now)
-        for shard in self._state.queues:
-            self._state.offer(shard)
+        self._state.offer_all()
 
     def count_sent(self, request: Request) -> None:
         """Note that an attempt of the request is sent; the first one is no retry."""
--- a/cleatyoke/scheduling/scheduler.py
+++ b/cleatyoke/scheduling/scheduler.py
@@ -136,7 +136,10 @@
         self.state.utilization = event.utilization
 
     def _on_quota_share(self, event: QuotaShareChanged) -> None:
+        has_grown = event.fraction > self.state.quota_clock.fraction
         self.state.quota_clock.change(event.fraction, self.state.now)
+        if has_grown:
+            self.state.offer_all()  # with no share nothing was due at any time
 
     def _on_attempt_finished(self, event: AttemptFinished) -> None:
         state, rules = self.state, self.rules
--- a/cleatyoke/scheduling/state.py
+++ b/cleatyoke/scheduling/state.py
@@ -77,6 +77,11 @@
         """Let the nodes that a request of this shard may go to look for something to take, in this step."""
         self.nodes_to_offer.update({node.id: node for node in self.table.holders_to_offer(shard)})
 
+    def offer_all(self) -> None:
+        """Let all nodes for which something is queued look for something to take, in this step."""
+        for shard in self.queues:
+            self.offer(shard)
+
     def enqueue(self, request: Request) -> None:
         """Queue a request, and let its nodes look."""
         self.queues.setdefault(request.shard, []).append(request)
