--- a/cleatyoke/scheduling/concurrency.py
+++ b/cleatyoke/scheduling/concurrency.py
@@ -163,6 +163,8 @@
         """
         if not self.slope:
             return clamp(self.ask, self.low, self.high)
+        if not self.weight:  # its shortfall counts for nothing
+            return self.low
         wanted = self.bound + (1 - self.performance - error / self.weight) / self.slope
         return clamp(wanted, self.low, self.high)
 
@@ -178,9 +180,12 @@
 
     Asks that fit are granted, and what is left over is shared by weight; otherwise weight x (1 - performance)
     is made equal for all classes, as far as bounds may move in an interval. ``slopes``: performance by bound.
+    A class of weight 0 gets what the others leave.
     """
     if sum(asks) <= 1:
         left_over = 1 - sum(asks)
+        if not sum(weights):  # classes that are all worth nothing share alike
+            weights = [1.0] * len(weights)
         return [max(0.0, ask) + left_over * weight / sum(weights) for ask, weight in zip(asks, weights)]
     low = [max(0.0, bound - MAX_BOUND_STEP) for bound in bounds]
     high = [bound + MAX_BOUND_STEP for bound in bounds]
--- a/cleatyoke/scheduling/slow_start.py
+++ b/cleatyoke/scheduling/slow_start.py
@@ -40,8 +40,9 @@
 
     def is_warming(self, node: Node) -> bool:
         """Whether the node has started so lately that it may not be sent its usual load."""
+        duration = self._state.safety.slow_start_duration
         age = self._state.now - node.started_at
-        return node.started_at > 0 and age < self._state.safety.slow_start_duration
+        return duration > 0 and node.started_at > 0 and age < duration
 
     def on_lease_changed(self, event: SlowStartLeaseChanged) -> None:
         """Set the lease multiplier on this front's even share of what the node bears."""
@@ -63,6 +64,11 @@
             return ALLOWED
         return Verdict(self._state.now - level / rate, Rule.SLOW_START)
 
+    def _configured_rate(self) -> float:
+        """Units a second that a node bears from all fronts together; 0 where the settings don't say."""
+        window = self._state.safety.overload_after
+        return self._state.settings.slow_start_units / window if window else 0.0
+
     def _fill(self, node: Node) -> float:
         """Pay off the debt until now; returns the rate, in units a second."""
         state, safety = self._state, self._state.safety
@@ -76,11 +82,7 @@
         multiple = safety.overload_multiple
         usual = state.table.usual_rate.get_or_mean(node.shard) * fraction * multiple * idle_multiple
         configured = (
-            state.settings.slow_start_units
-            / safety.overload_after
-            / fronts
-            * state.quota_clock.fraction
-            * node.slow_start_multiplier
+            self._configured_rate() / fronts * state.quota_clock.fraction * node.slow_start_multiplier
         )
         growth = fraction / initial if initial else 1.0
         reserved = state.table.reserved_rate.get(node.shard) * fraction * multiple
