Contain an exception in the scheduler to what it happened at

Callers: one exception lost every event behind it, threw away attempts that were already decided (their slots stayed taken, their requests waited for their deadlines) and left no timer set; where its cause stood, a front answered nothing in time. Each event, timer and request of a step is now handled by itself; the request at fault is answered at once, by Reject where a repeat is harmless and FailRequest where it may have run; its slot and its key's place come back. An attempt's slot is taken only after every rule has agreed. Faults are logged once a second with their number, so that a cause that stands does not fill the log.

--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -40,6 +40,7 @@
 # Times in seconds, in no setting. The two margins are what this process's own loop may run late by.
 ATTEMPT_MARGIN = 0.04  # an attempt ends this long before the client's deadline, so that the answer beats it
 ANSWER_MARGIN = 0.015  # the core answers by itself where the scheduler has not until so long before it
+FAULT_LOG_INTERVAL = 1.0  # between two lines of the log on faults of the scheduler
 MIN_DECISION_TIME = 0.005  # the scheduler decides in the next turn of the loop, however short the deadline
 log = structlog.get_logger()
 
@@ -122,6 +123,8 @@
         self.answers_due_at = math.inf  # Unix time; earlier than requests' own deadlines in a shutdown
         self._events: list[SchedulerEvent] = []
         self.timer: asyncio.TimerHandle | None = None
+        self._fault_logged_at = -math.inf
+        self._faults_since_logged = 0  # with the one that is logged
         self._ids_issued = 0
 
     def now(self) -> float:
@@ -146,15 +149,30 @@
         """Let the scheduler decide on the events that came, and act on it."""
         events = self._events
         self._events = []
+        now = self.now()
         try:
-            now = self.now()
-            actions = self.scheduler.step(now, self.before_step(now, events))
-        except Exception:  # saves the other requests: each is still answered at its own deadline
-            log.exception("scheduler_fault", events=len(events))
+            events = self.before_step(now, events)
+        except Exception as error:  # noqa: BLE001 - the events themselves count all the same
+            self._report_fault(error, "before_step")
+        try:
+            actions = self.scheduler.step(now, events)
+        except Exception as error:  # noqa: BLE001 - each request is still answered at its own deadline
+            self._report_fault(error, "step")
             return
+        for fault in self.scheduler.take_faults():
+            self._report_fault(fault.error, fault.subject)
         for action in actions:
             self._act(action)
 
+    def _report_fault(self, error: Exception, subject: str) -> None:
+        """Log an exception of the scheduler, seldom where its cause stands in every step."""
+        self._faults_since_logged += 1
+        if self.loop.time() < self._fault_logged_at + FAULT_LOG_INTERVAL:
+            return
+        log.error("scheduler_fault", exc_info=error, subject=subject, faults=self._faults_since_logged)
+        self._fault_logged_at = self.loop.time()
+        self._faults_since_logged = 0
+
     def _act(self, action: SchedulerAction) -> None:
         match action:
             case SendAttempt(request_id) | Reject(request_id) | FailRequest(request_id):
--- a/cleatyoke/scheduling/ordering.py
+++ b/cleatyoke/scheduling/ordering.py
@@ -30,7 +30,9 @@
         """Drop a request that is closed, and let the next one of its key go."""
         if request.order_key is None:
             return
-        queue = self.open_requests[request.order_key]
+        queue = self.open_requests.get(request.order_key, [])
+        if request not in queue:  # an exception came before it was added
+            return
         queue.remove(request)
         for follower in queue[:1]:
             self._state.offer(follower.shard)
--- a/cleatyoke/scheduling/placement.py
+++ b/cleatyoke/scheduling/placement.py
@@ -5,6 +5,7 @@
 from heapq import heapify, heappop, heapreplace
 
 from cleatyoke.scheduling.actions import SendAttempt
+from cleatyoke.scheduling.fault_containment import FaultContainment
 from cleatyoke.scheduling.records import Attempt, Node, Request
 from cleatyoke.scheduling.rules import Rules
 from cleatyoke.scheduling.verdict import NEVER, Rule, Verdict
@@ -18,9 +19,10 @@
     before others, which only use slots that would stay idle.
     """
 
-    def __init__(self, rules: Rules) -> None:
+    def __init__(self, rules: Rules, containment: FaultContainment) -> None:
         self._state = rules.state
         self._rules = rules
+        self._containment = containment
 
     def dispatch(self) -> None:
         """Send what the nodes that were offered something in this step choose."""
@@ -31,7 +33,10 @@
         while heap:
             _, place, node = heap[0]
             if request := self.choose(node):
-                self._send(request, node)
+                try:
+                    self._send(request, node)
+                except Exception as error:  # noqa: BLE001 - the other requests are sent all the same
+                    self._containment.on_request_failed(request, error)
                 heapreplace(heap, (self._new_object_time(node), place, node))
             else:
                 heappop(heap)
@@ -48,10 +53,14 @@
         for request in queued:
             index = request.class_index
             is_within_slots = node.in_flight_by_class[index] < node.class_slots[index]
-            rank = is_within_slots, self._rules.surplus.value(request, node), -request.objective_at
-            if best_rank is not None and rank <= best_rank:
+            try:
+                rank = is_within_slots, self._rules.surplus.value(request, node), -request.objective_at
+                if best_rank is not None and rank <= best_rank:
+                    continue
+                verdict = request.verdict = self._rules.check(request, node)
+            except Exception as error:  # noqa: BLE001 - the other requests are sent all the same
+                self._containment.on_request_failed(request, error)
                 continue
-            verdict = request.verdict = self._rules.check(request, node)
             if verdict.allowed_at <= now:
                 best = request
                 best_rank = rank
@@ -81,17 +90,20 @@
         return answer * backlog / node.concurrency_limit
 
     def _send(self, request: Request, node: Node) -> None:
-        """Send an attempt, and count it with every rule."""
+        """Send an attempt, and count it with every rule.
+
+        The rules come first, as they may fail: a slot is taken only for an attempt that is sent.
+        """
         state, rules = self._state, self._rules
         rules.surplus.charge(request, node)
         rules.reserves.on_sent(request)
         rules.rate_limits.draw(request)
         rules.retry_budget.count_sent(request)
+        rules.attempt_timeouts.start(request, node)
+        not_after = rules.idempotency.remembered_until(request)
         state.dequeue(request)
         request.in_flight[request.attempts] = Attempt(node, state.now)
-        rules.attempt_timeouts.start(request, node)
         request.attempts += 1
         node.in_flight_by_class[request.class_index] += 1
         node.slow_start.level -= request.units
-        not_after = rules.idempotency.remembered_until(request)
         state.actions.append(SendAttempt(request.id, node.id, not_after))
--- a/cleatyoke/scheduling/scheduler.py
+++ b/cleatyoke/scheduling/scheduler.py
@@ -28,6 +28,7 @@
     TimerFired,
     UtilizationReported,
 )
+from cleatyoke.scheduling.fault_containment import FaultContainment, SchedulerFault
 from cleatyoke.scheduling.node_table import NodeTable
 from cleatyoke.scheduling.placement import Placement
 from cleatyoke.scheduling.records import Node, Request, Volume
@@ -52,7 +53,8 @@
         self.rules = Rules(self.state)
         self.lifecycle = RequestLifecycle(self.rules)
         self.shedding = LoadShedding(self.rules, self.lifecycle)
-        self.placement = Placement(self.rules)
+        self._containment = FaultContainment(self.state, self.lifecycle)
+        self.placement = Placement(self.rules, self._containment)
         self._endpoints = EndpointUpdates(self.rules)
         self._timer_at = math.inf  # when the timer that is set fires
         self._handlers: dict[type[Any], Callable[[Any], None]] = {
@@ -96,7 +98,10 @@
         return self.state.volumes
 
     def step(self, now: float, events: list[SchedulerEvent]) -> list[SchedulerAction]:
-        """Take in what has happened until ``now`` (seconds), and return what is to be done."""
+        """Take in what has happened until ``now`` (seconds), and return what is to be done.
+
+        An unforeseen exception ends the handling of one event, timer or request; see ``take_faults``.
+        """
         state = self.state
         state.now = now
         state.actions = []
@@ -104,17 +109,31 @@
             state.start()
             self.rules.concurrency.start()
         if self.rules.concurrency.is_due():
-            self.rules.concurrency.run_round()
-            self.forget_idle()
+            with self._containment.contain("control round"):
+                self.rules.concurrency.run_round()
+            with self._containment.contain("forget idle"):
+                self.forget_idle()
         for event in events:
-            self._handlers[type(event)](event)
+            self._handle(event)
         while state.timers.next_at() <= now:
-            self._check(state.timers.take())
-        self.placement.dispatch()
+            with self._containment.contain("timer"):
+                self._check(state.timers.take())
+        with self._containment.contain("dispatch"):
+            self.placement.dispatch()
         self._review()
         self._set_timer()
         return state.actions
 
+    def take_faults(self) -> list[SchedulerFault]:
+        """Return the exceptions that were contained since the last call; the caller reports them."""
+        return self._containment.take()
+
+    def _handle(self, event: SchedulerEvent) -> None:
+        try:
+            self._handlers[type(event)](event)
+        except Exception as error:  # noqa: BLE001 - the other events count all the same
+            self._containment.on_event_failed(event, error)
+
     def explain(self, request_id: str) -> Verdict | None:
         """Why a request is queued, and until when at least; ``None`` where it is not queued.
 
@@ -210,7 +229,10 @@
             request for request in state.to_review if not request.is_closed and not request.in_flight
         ]
         for request in to_review:
-            self.shedding.reject_if_waiting_is_useless(request)
+            try:
+                self.shedding.reject_if_waiting_is_useless(request)
+            except Exception as error:  # noqa: BLE001 - the other requests are reviewed all the same
+                self._containment.on_request_failed(request, error)
         state.to_review = []
 
     def _set_timer(self) -> None:
--- a/cleatyoke/scheduling/verdict.py
+++ b/cleatyoke/scheduling/verdict.py
@@ -24,6 +24,7 @@
     MAX_ATTEMPTS = "max_attempts"  # scheduler: it has had all its attempts
     RATE_LIMIT = "rate_limit"  # admission: the volume's rate limit
     SLOW_START = "slow_start"  # slow_start: the node is warming up
+    FAULT = "fault"  # fault_containment: an unforeseen exception while the request was handled
 
 
 class Verdict(NamedTuple):
--- a/cleatyoke/simulator.py
+++ b/cleatyoke/simulator.py
@@ -222,6 +222,8 @@
                 {"type": "INTERNAL_ERROR", "Head": instance_id, "Msg": f"{type(error).__name__}: {error}"}
             )
             return
+        for fault in self.schedulers[instance_id].take_faults():
+            print(f"simhost: {fault.subject}: {type(fault.error).__name__}: {fault.error}", file=sys.stderr)
         steps.extend(write_action(instance_id, action) for action in actions)
         if instance_id in self.probers:
             self._probe(instance_id, steps)
