Say how a front of the testbed ended that was gone before its signal, and hold its ports

Evidence for the entries of late exits and vanished processes: a play ended in ProcessLookupError, and nothing said with which status and last lines the front had gone. It is a violation of the run with both now, as is a late exit with how late the testbed itself sent the kill and the front's last lines. SIGKILL comes at its time after the SIGTERM, not after the testbed's first wait. The report has the smallest time between an exit and its kill, and by how much the testbed's loop ran late at the most.

The relay's port and that of the commands are held on every address on which fronts and relay use them; they were held on 127.0.0.1 alone, so that nothing kept two plays side by side apart on 127.1.0.x and 127.1.1.x.

--- a/cleatyoke/testbed/checker.py
+++ b/cleatyoke/testbed/checker.py
@@ -158,6 +158,11 @@
             if request.front == front and request.status is None:
                 request.excused = True
 
+    def on_client_left(self, trace: str) -> None:
+        """A client ended its connection while its request waited: it is owed no answer."""
+        if trace in self.requests:
+            self.requests[trace].excused = True
+
     def on_front_paused(self, front: int, began: float, ended: float) -> None:
         """A front's process was stopped for a while, in which it could neither answer nor receive."""
         self._front_pauses.append((front, began, ended))
--- a/cleatyoke/testbed/clients.py
+++ b/cleatyoke/testbed/clients.py
@@ -29,6 +29,7 @@
         self.port = port
         self.idle_connections: list[Connection] = []
         self.is_open = False
+        self.is_crowded = False  # new connections may be closed unread
 
     async def connect(self) -> Connection | None:
         """Return an idle connection or a new one; None where the front accepts none."""
@@ -84,7 +85,7 @@
         first_sent_at = self.clock()
         served_at: float | None = None
         for number in range(1 + load.retries):
-            record = await self._send_once(drawn, drawn.trace_of(number), is_retry=number > 0)
+            record = await self.send_once(drawn, drawn.trace_of(number), is_retry=number > 0)
             served_at = record.answered_at if record.status == 200 else None
             if record.status not in (None, 429, 503) or (record.status is None and not record.excused):
                 break
@@ -93,10 +94,15 @@
         template = RequestTemplate(first_sent_at, drawn.volume, drawn.request_class, drawn.units, served_at)
         self.templates.append(template)
 
-    async def _send_once(self, drawn: GeneratedRequest, trace: str, *, is_retry: bool) -> ClientRequestRecord:
-        """Send one attempt of a client; once more where its connection was closed as it was sent."""
+    async def send_once(
+        self, drawn: GeneratedRequest, trace: str, *, is_retry: bool, address: FrontAddress | None = None
+    ) -> ClientRequestRecord:
+        """Send one attempt of a client; once more where its connection was closed as it was sent.
+
+        ``address``: of a client with connections of its own; None: those that all share.
+        """
         request_class = drawn.request_class
-        address = self.addresses[drawn.front]
+        address = address or self.addresses[drawn.front]
         block, shard = self._choose_object(drawn)
         content = RequestContent(
             "PUT" if request_class.write else "GET",
@@ -129,8 +135,16 @@
                 if shard == ANY_SHARD and record.status == 200 and record.attempts:
                     self.written.append((block, self.shards_by_backend[record.attempts[-1].backend]))
                 return record
+        record.excused = record.excused or address.is_crowded
         return record
 
+    def example_message(self, drawn: GeneratedRequest) -> bytes:
+        """Return the bytes of a read like the drawn request, which nobody means to complete."""
+        content = RequestContent("GET", f"/api?block={drawn.block}", None, b"")
+        return self._message(
+            drawn, drawn.trace, content, drawn.volume % self.scenario.backends, is_retry=False
+        )
+
     def _choose_object(self, drawn: GeneratedRequest) -> tuple[str, int]:
         """Return the block and the shard: the volume's own, a new object's, or one created just before."""
         load = self.scenario.load
--- a/cleatyoke/testbed/fault_relay.py
+++ b/cleatyoke/testbed/fault_relay.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from cleatyoke.emulation.network import Network
-from cleatyoke.testbed.peer import hold_port
+from cleatyoke.testbed.peer import LOCALHOST, hold_port_on
 
 HELD = 2.0  # seconds for which a stream across a cut stands without a word
 CHUNK = 65536
@@ -31,8 +31,11 @@
     def __init__(self, fronts: int, seed: int) -> None:
         self.network = Network(seed, delay=0.0, jitter=0.0)
         self.fronts, self.loop = fronts, asyncio.get_running_loop()
-        self.held = hold_port()  # a port that is this play's on every address of loopback
-        self.port = int(self.held.getsockname()[1])
+        # One port on every address of the fronts and of this relay, so that no other run is given it there.
+        self.held = hold_port_on(
+            [LOCALHOST, *map(self.host, range(fronts)), *map(self.known_host, range(fronts))]
+        )
+        self.port = int(self.held[0].getsockname()[1])
         self.sockets: list[asyncio.DatagramTransport] = []
         self.servers: list[asyncio.Server] = []
         self.streams: set[asyncio.Task[Any]] = set()
@@ -45,15 +48,19 @@
     def home(self, front: int) -> str:
         return f"{self.host(front)}:{self.port}"
 
+    @staticmethod
+    def known_host(front: int) -> str:
+        return f"127.1.1.{front + 1}"
+
     def known(self, front: int) -> str:
-        return f"127.1.1.{front + 1}:{self.port}"
+        return f"{self.known_host(front)}:{self.port}"
 
     def number(self, host: str) -> int:
         return int(host.rpartition(".")[2]) - 1
 
     async def start(self) -> None:
         for front in range(self.fronts):
-            host = self.known(front).partition(":")[0]
+            host = self.known_host(front)
             socket, _ = await self.loop.create_datagram_endpoint(
                 partial(FaultRelayProtocol, self, front), local_addr=(host, self.port)
             )
@@ -73,7 +80,8 @@
             server.close()
         for task in self.streams:
             task.cancel()
-        self.held.close()
+        for held in self.held:
+            held.close()
 
     def datagram(self, source: int, target: int, data: bytes) -> None:
         came = self.network.datagram(str(source), str(target), data)
--- a/cleatyoke/testbed/front_process.py
+++ b/cleatyoke/testbed/front_process.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections import deque
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -23,7 +24,9 @@
 ACCEPT_AFTER_SIGTERM_S = 0.3  # in which new connections keep coming (protocol page: 0.2 to 0.4 s)
 RESUME_S = 0.5  # in which a process that was stopped catches up
 COMMAND_TIMEOUT_S = 1.0  # for an operator's command
-LAST_LINE_LENGTH = 200  # characters of the log that an unexpected exit is reported with
+EXPECTED_STATUSES = (0, -signal.SIGKILL)
+LAST_LINES = 3  # of the log, that an unexpected exit is reported with
+LAST_LINE_LENGTH = 200  # characters of each
 # Intervals of a fleet's settings file, as multiples of its probe period.
 INTERVAL_FACTORS = {"period": 1.0, "answer": 0.3, "gossip": 0.2, "sync": 20.0, "departed": 2.0, "join": 2.0}
 
@@ -44,6 +47,8 @@
         self.written_endpoints: dict[str, Any] = {}  # the endpoint list in its settings file
         self.ready = asyncio.Event()
         self.log_task: asyncio.Task[None] | None = None
+        self.expected_statuses: tuple[int, ...] = EXPECTED_STATUSES
+        self.last_lines: deque[str] = deque(maxlen=LAST_LINES)
 
     def write_config(self, **changes: Any) -> None:
         """Write the settings files that the next start, or a reload, reads."""
@@ -116,18 +121,22 @@
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
         """Read the log to its end, and check how the process exits."""
         assert process.stderr
-        last = ""
+        self.last_lines.clear()
         while line := (await process.stderr.readline()).decode(errors="replace"):
             if "event='" in line:
                 self._count_event(line)
-            last = line.strip()
+            self.last_lines.append(line.strip()[-LAST_LINE_LENGTH:])
         status = await process.wait()
         self.address.is_open = False
-        if not self.is_exit_expected or status not in (0, -signal.SIGKILL):
-            exit_text = f"front {self.number} with status {status}: {last[-LAST_LINE_LENGTH:]}"
+        if not self.is_exit_expected or status not in self.expected_statuses:
+            exit_text = f"front {self.number} with status {status}: {self._last_words()}"
             self.run.checker.violations.append(f"exit: {exit_text}")
         self.ready.set()
 
+    def _last_words(self) -> str:
+        """Return the last lines of the log, for a violation."""
+        return " | ".join(self.last_lines)
+
     def _count_event(self, line: str) -> None:
         event = line.partition("event='")[2].partition("'")[0]
         self.run.report.log_counts[event] += 1
@@ -138,21 +147,46 @@
 
     async def shut_down(self) -> None:
         """SIGTERM, as in a planned restart, and SIGKILL where it does not exit in its time."""
+        self.is_exit_expected = True
+        if self.send_signal(signal.SIGTERM):
+            await self.wait_for_exit(self.run.clock())
+
+    async def wait_for_exit(self, signalled_at: float, stopped_seconds: float = 0.0) -> None:
+        """Wait for the exit after a SIGTERM, and send SIGKILL at the earliest time that the page has for it.
+
+        ``stopped_seconds``: for which the process was stopped since, and could do nothing.
+        """
         assert self.process
         assert self.log_task
-        self.is_exit_expected = True
-        self.process.send_signal(signal.SIGTERM)
-        await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S)
+        killed_at = signalled_at + self.run.scenario.termination_timeout() + stopped_seconds
+        await asyncio.sleep(max(0.0, signalled_at + ACCEPT_AFTER_SIGTERM_S - self.run.clock()))
         self.address.is_open = False
         try:
-            async with asyncio.timeout(self.run.scenario.termination_timeout() - ACCEPT_AFTER_SIGTERM_S):
+            async with asyncio.timeout_at(killed_at):
                 await asyncio.shield(self.log_task)
+            self.run.report.exit_margins.append(killed_at - self.run.clock())
         except TimeoutError:
-            self.run.checker.violations.append(f"exit: front {self.number} was not gone before its kill")
+            lateness = self.run.clock() - killed_at
+            self.run.checker.violations.append(
+                f"exit: front {self.number} was not gone before its kill, which the testbed sent "
+                f"{lateness:.3f} s late: {self._last_words()}"
+            )
             self.process.kill()
             await self.log_task
         self.address.drop_connections()
 
+    def send_signal(self, number: signal.Signals) -> bool:
+        """Send a signal; return whether the process is there. If it is gone, that is a violation."""
+        assert self.process
+        if self.process.returncode is not None:
+            self.run.checker.violations.append(
+                f"exit: front {self.number} was gone before {number.name}, status {self.process.returncode}: "
+                f"{self._last_words()}"
+            )
+            return False
+        self.process.send_signal(number)
+        return True
+
     async def kill(self) -> None:
         """SIGKILL, and wait until the process is gone."""
         assert self.process
@@ -160,7 +194,7 @@
         self.is_exit_expected = True
         self.address.is_open = False
         self.run.checker.on_front_killed(self.number, self.run.clock())
-        self.process.kill()
+        self.send_signal(signal.SIGKILL)
         await self.log_task
         # Once more, for what it accepted until it was gone.
         self.run.checker.on_front_killed(self.number, self.run.clock())
@@ -185,14 +219,13 @@
 
     async def pause(self, seconds: float) -> None:
         """SIGSTOP, and SIGCONT after so many seconds."""
-        assert self.process
-        process = self.process
         began = self.run.clock()
-        process.send_signal(signal.SIGSTOP)
+        if not self.send_signal(signal.SIGSTOP):
+            return
         try:
             await asyncio.sleep(seconds)
         finally:
-            process.send_signal(signal.SIGCONT)
+            self.send_signal(signal.SIGCONT)
             self.run.checker.on_front_paused(self.number, began, self.run.clock() + RESUME_S)
 
     async def show_fleet(self) -> MembershipView | None:
--- a/cleatyoke/testbed/peer.py
+++ b/cleatyoke/testbed/peer.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
+from collections.abc import Sequence
 from typing import Any
 
 
@@ -17,16 +19,41 @@
         super().feed_data(data)
 
 
-def hold_port() -> socket.socket:
-    """A port of loopback that nobody else is given while the socket stands: who listens on it may come and
-    go. It does not listen itself, so that connections are refused meanwhile.
+LOCALHOST = "127.0.0.1"
+HOLD_ATTEMPTS = 16  # at a port that is free on all hosts
+
+
+def hold_port(host: str = LOCALHOST, port: int = 0) -> socket.socket:
+    """Bind a port of loopback, so that nobody else is given it while the socket stands.
+
+    Who listens on it may come and go. It does not listen itself, so that connections are refused meanwhile.
+    Raises ``OSError`` where the port is not free.
     """
     held = socket.socket()
     held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    held.bind(("127.0.0.1", 0))
+    try:
+        held.bind((host, port))
+    except OSError:
+        held.close()
+        raise
     return held
 
 
+def hold_port_on(hosts: Sequence[str]) -> list[socket.socket]:
+    """Bind one port on each of several addresses; the same port, which is free on all of them."""
+    for _ in range(HOLD_ATTEMPTS):
+        held = [hold_port(hosts[0])]
+        port = int(held[0].getsockname()[1])
+        try:
+            held += [hold_port(host, port) for host in hosts[1:]]
+        except OSError:
+            for one in held:
+                one.close()
+            continue
+        return held
+    raise OSError(errno.EADDRINUSE, "no port is free on all hosts")
+
+
 class Peer:
     """A listener on loopback whose connections are handled by the subclass. ``open`` counts those that stand,
     ``accepted`` all that came. Its port stays from one life to the next.
--- a/cleatyoke/testbed/run_report.py
+++ b/cleatyoke/testbed/run_report.py
@@ -36,6 +36,9 @@
     # Kind of fault, and seconds from its end until all fronts had one view; None: they never had.
     convergence_times: list[tuple[str, float | None]] = field(default_factory=list)
 
+    exit_margins: list[float] = field(default_factory=list)  # seconds from each exit to its SIGKILL
+    max_loop_lag: float = 0.0  # seconds by which the testbed's own loop ran late at the most
+
     def lines(self) -> list[str]:
         """Return the report as text."""
         return [
@@ -57,6 +60,9 @@
             yield f"one view {when} after {kind}"
         if self.hold_answers:
             yield f"holds: {', '.join(self.hold_answers)}"
+        if self.exit_margins:
+            yield f"exits {min(self.exit_margins):.2f} s before their kills at the least"
+        yield f"testbed at most {self.max_loop_lag:.3f} s late"
         for line in self.fault_lines[:MAX_LISTED]:
             yield f"fault: {line}"
         for violation in self.violations[:MAX_LISTED]:
--- a/cleatyoke/testbed/runner.py
+++ b/cleatyoke/testbed/runner.py
@@ -16,12 +16,13 @@
 from cleatyoke.testbed.fault_injection import FaultInjector
 from cleatyoke.testbed.fault_relay import FaultRelay
 from cleatyoke.testbed.front_process import FrontProcess
-from cleatyoke.testbed.peer import hold_port
+from cleatyoke.testbed.peer import LOCALHOST, hold_port, hold_port_on
 from cleatyoke.testbed.run_report import RunReport
 from cleatyoke.testbed.scenario import Scenario
 from cleatyoke.testbed.view_checks import MembershipChecker
 
 ROOT = Path(__file__).resolve().parent.parent.parent
+LAG_POLL_S = 0.05  # between two looks at the loop's lateness
 VIEW_POLL_S = 0.2  # between two rounds of asking all fronts for their views
 MIN_WARM_UP_SLACK = 4.0  # units
 
@@ -91,7 +92,7 @@
             await asyncio.gather(*(front.start() for front in self.fronts))
             clients = self._make_clients()
             await self._run_load(clients)
-            await asyncio.gather(*(front.shut_down() for front in self.fronts))
+            await self._shut_down_fronts()
         finally:
             await self._tear_down()
         return self._complete_report(clients)
@@ -100,7 +101,9 @@
         scenario = self.scenario
         if self.relay:
             await self.relay.start()
-            self.ops_port = self._reserve_port()
+            held = hold_port_on([LOCALHOST, *map(self.relay.host, range(scenario.fronts))])
+            self.reserved_ports += held
+            self.ops_port = int(held[0].getsockname()[1])
         for shard in range(scenario.backends):
             backend = await self.add_backend(shard, f"s-{shard:03d}", None, scenario.seed + shard)
             self.backends.append(backend)
@@ -110,7 +113,7 @@
             folder.mkdir()
             front = FrontProcess(number, folder, self._reserve_port(), self)
             self.fronts.append(front)
-            front.write_config()
+            self.write_config(front)
 
     def _reserve_port(self) -> int:
         """Return a port that nobody else is given until the run is over."""
@@ -118,6 +121,13 @@
         self.reserved_ports.append(reserved)
         return int(reserved.getsockname()[1])
 
+    async def _shut_down_fronts(self) -> None:
+        await asyncio.gather(*(front.shut_down() for front in self.fronts))
+
+    def write_config(self, front: FrontProcess) -> None:
+        """Write the files that a front's next start, or a reload, reads."""
+        front.write_config()
+
     def _make_clients(self) -> ClientDoubles:
         addresses = [front.address for front in self.fronts]
         clients = ClientDoubles(self.scenario, self.checker, addresses, self.clock)
@@ -129,11 +139,20 @@
         began = self.clock()
         self.report.load_started_at = began
         view_task = asyncio.create_task(self._watch_views()) if self.relay else None
+        lag_task = asyncio.create_task(self._watch_loop_lag())
         faults = (self._fault_injector.inject(fault) for fault in self.scenario.faults)
         await asyncio.gather(clients.run(), *faults)
         if view_task:
             await self._wait_for_one_view(began)
             view_task.cancel()
+        lag_task.cancel()
+
+    async def _watch_loop_lag(self) -> None:
+        """Note how late the testbed itself runs: a rule that it breaks then may be its own fault."""
+        while True:
+            due = self.clock() + LAG_POLL_S
+            await asyncio.sleep(LAG_POLL_S)
+            self.report.max_loop_lag = max(self.report.max_loop_lag, self.clock() - due)
 
     async def _watch_views(self) -> None:
         """Ask all fronts again and again for their views; drop answers across a restart."""
