Play a start whose write is slow in the losses of power

Three fronts lose their power and come back, with the write of each later start 2.7 s long, longer than all its stages.

--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -62,6 +62,7 @@
 
 
 Runs = dict[str, Future[RunReport]]
+SLOW_WRITE = 2.7  # seconds: longer than all stages of a start
 
 
 @pytest.fixture(scope="module")
@@ -69,7 +70,8 @@
     """Processes that lose their power together, side by side.
 
     ``whole``: eight, twice. ``small``: three, once. ``forgetful``: as ``small``, with the program changed so
-    that it does not take the holds that its disk has.
+    that it does not take the holds that its disk has. ``slow``: as ``small``, with the write of each
+    start after the first slower than all its stages together.
     """
     values = tomllib.loads((ROOT / "tests" / "scenarios" / "power-loss.toml").read_text())
     small = {
@@ -81,22 +83,39 @@
             {"kind": "powercut", "at": 2, "lasts_s": 1},
         ],
     }
-    forgetful = Path(tempfile.mkdtemp())
+    forgetful, slow = Path(tempfile.mkdtemp()), Path(tempfile.mkdtemp())
     try:
-        shutil.copytree(ROOT / "cleatyoke", forgetful / "cleatyoke")
-        module = forgetful / "cleatyoke" / "fleet" / "view.py"
-        right = "self.hold_replication.holds = self.hold_replication.holds.merge(state.holds)"
-        text = module.read_text()
-        assert text.count(right) == 1
-        module.write_text(text.replace(right, "pass"))
+        change_program(
+            forgetful,
+            "fleet/view.py",
+            "self.hold_replication.holds = self.hold_replication.holds.merge(state.holds)",
+            "pass",
+        )
+        change_program(
+            slow,
+            "durability/writer.py",
+            "write_problems = self.store.save(state)",
+            f"__import__('time').sleep({SLOW_WRITE} * was_found); write_problems = self.store.save(state)",
+        )
         with pool() as workers:
             yield {
                 "whole": workers.submit(run_values, "whole", values),
                 "forgetful": workers.submit(run_values, "forgetful", small, forgetful),
                 "small": workers.submit(run_values, "small", small),
+                "slow": workers.submit(run_values, "slow", small, slow),
             }
     finally:
         shutil.rmtree(forgetful)
+        shutil.rmtree(slow)
+
+
+def change_program(folder: Path, part: str, right: str, wrong: str) -> None:
+    """Copy the program to a folder, with one place changed."""
+    shutil.copytree(ROOT / "cleatyoke", folder / "cleatyoke")
+    module = folder / "cleatyoke" / part
+    text = module.read_text()
+    assert text.count(right) == 1
+    module.write_text(text.replace(right, wrong))
 
 
 @pytest.mark.parametrize("name", ["whole", "small"])
@@ -111,6 +130,13 @@
     assert report.fault_lines == []
 
 
+def test_a_slow_write_at_the_start_delays_no_hold(runs: Runs) -> None:
+    """Guards against requests at a held node: the holds were read, and kept back until a write was done."""
+    report = runs["slow"].result()
+    assert report.violations == [], "\n".join(report.lines())
+    assert report.fault_lines == []
+
+
 def test_every_front_passes_all_stages_at_each_start_and_serves(runs: Runs) -> None:
     report = runs["whole"].result()
     assert report.log_counts["recovery_stage"] == 4 * report.front_starts
