Wait for the gossip of a moved address before the witness is asked for it

A move is gossiped, so a witness that has it some gossip intervals later is right; the test asked in the same turn. It waits for it as for the other conditions now, 10 s at the most, and fails where the witness never learns it.

--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -167,6 +167,11 @@
     asyncio.run(upgrade_front(), debug=True)
 
 
+def known_address(view: FleetView, member: MemberId) -> str:
+    """The address that a view has of another member; none of itself."""
+    return view.membership.records[member].update.address if member in view.membership.records else ""
+
+
 async def upgrade_front() -> None:
     async with local_fleet() as fleet:
         old, witness = await fleet.start(1, boot=1), await fleet.start(2)
@@ -179,6 +184,10 @@
         old.stop()
         await fleet.until(lambda view: view.membership.owns_address)
         await fleet.until(lambda view: len(view.membership.left_members) == 1)
+        # The move is gossiped: the witness has it some gossip intervals later.
+        await fleet.until(
+            lambda view: known_address(view, MemberId("n1", 2)) in ("", f"127.1.2.1:{fleet.port}")
+        )
         assert witness.conclusion().certainly_stopped == {MemberId("n1", 1)}
         assert witness.membership.records[MemberId("n1", 2)].update.address == f"127.1.2.1:{fleet.port}"
         shown = read_view([*witness.status_lines(), "EOT"])
