End a start that waits for others as soon as a SIGTERM comes

Callers saw resets at SIGKILL where a front was restarted again while it still started: with the fleet's view on, a start waits up to 2.5 s for its disk, peers and discovery, and saw the SIGTERM only then; with client timeouts of 0.5 s the grace period is 1.2 s. No stage is waited for once a shutdown is requested, and the process ends without a listener, as nobody has been accepted. Starts without a view wait for nothing and go on as before.

--- a/cleatyoke/fleet/startup.py
+++ b/cleatyoke/fleet/startup.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Awaitable, Callable
 
 import structlog
@@ -25,11 +24,13 @@
 class StagedStartRunner:
     """Wait in each stage of one process's start for its evidence, or until its bound.
 
-    The process opens its listeners after ``wait_for_endpoint_list``. To be made on the running event loop.
+    The process opens its listeners after ``wait_for_endpoint_list``. Once ``shutdown_requested`` is set no
+    stage is waited for any more, as the process is not going to serve. To be made on the running event loop.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, shutdown_requested: asyncio.Event | None = None) -> None:
         self.loop = asyncio.get_running_loop()
+        self.shutdown_requested = shutdown_requested or asyncio.Event()
         now = self.loop.time()
         self.staged_start = StagedStart(now, LeaseTerms().lender_expiry(now))
 
@@ -78,9 +79,13 @@
         ``describe`` returns the evidence, or None where it has not come. It is asked at the bound too: where
         the loop runs late, the evidence and the bound come in one turn of it, and the evidence counts.
         """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(self.staged_start.stage_ends_at()):
-                await awaited
+        waits = [asyncio.ensure_future(awaited), asyncio.ensure_future(self.shutdown_requested.wait())]
+        try:
+            seconds = max(0.0, self.staged_start.stage_ends_at() - self.loop.time())
+            await asyncio.wait(waits, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
         description = describe()
         self._step(*([Evidence(stage, description)] if description is not None else []))
         if self.staged_start.stage is StartStage.OLD_LEASES:
--- a/cleatyoke/process/daemon.py
+++ b/cleatyoke/process/daemon.py
@@ -112,7 +112,10 @@
     # Start
 
     async def start(self) -> None:
-        """Do all that can fail before the first client is accepted. Raises ``ConfigError``."""
+        """Do all that can fail before the first client is accepted. Raises ``ConfigError``.
+
+        Where a shutdown is requested while the start waits for the fleet, it ends without a listener.
+        """
         config = self.config
         if config.settings.load_by_probes:
             self.probes = optional_parts.start_load_probes(self)
@@ -125,6 +128,9 @@
         if config.fleet:
             self._open_control()  # early, so that operators can ask what the start waits for
             await optional_parts.start_fleet_view(self, config.fleet)
+            if self.shutdown_requested.is_set():  # it may have waited for long, and nothing is owed yet
+                self.lifecycle.abandon_start()
+                return
         await self._listen()
         if not self.control:
             self._open_control()
@@ -193,6 +199,11 @@
 
     async def serve(self) -> None:
         """Serve until a shutdown is requested, and return when it is complete."""
+        if self.lifecycle.stage is Stage.CLOSING:
+            log.info("leaving", open=0)
+            self._carry_out(ShutdownStep.RELEASE_RESOURCES)
+            self._finish()
+            return
         self.lifecycle.start_serving()
         gc.collect()
         gc.enable()  # ``fast_import`` left it off
@@ -209,6 +220,10 @@
         if self.fleet:
             self.fleet.save_state()  # now, so that a slow disk does not hold up the exit
         await self._shut_down()
+        self._finish()
+
+    def _finish(self) -> None:
+        """Log the last line; the process may exit."""
         # ``down`` is not counted at the exit: it is always 0 in this line.
         stat_lines = self.metrics.stat_lines(list(self.config.classes), len(self.directory.instances), 0)
         log.info(
--- a/cleatyoke/process/lifecycle.py
+++ b/cleatyoke/process/lifecycle.py
@@ -2,6 +2,7 @@
 
     stage      leaves it when                                          step given to the caller
     STARTING   the start has succeeded                                 none
+    STARTING   the start was abandoned for a shutdown: CLOSING          none
     SERVING    SIGTERM or SIGINT came                                  none
     ACCEPTING  ``file_service_closes`` has passed: no new stage        CLOSE_FILE_SERVICE
     ACCEPTING  ``accepting_ends`` has passed                           STOP_ACCEPTING
@@ -99,6 +100,11 @@
         self.stage = Stage.SERVING if self.shutdown_requested_at is None else Stage.ACCEPTING
         self.status = ExitStatus.FAULT
 
+    def abandon_start(self) -> None:
+        """A shutdown was requested before any client was accepted: nothing is owed to anybody."""
+        if self.stage is Stage.STARTING and self.shutdown_requested_at is not None:
+            self.stage = Stage.CLOSING
+
     def request_shutdown(self, now: float) -> bool:
         """SIGTERM or SIGINT came; return whether it is the first. Further ones change nothing."""
         if self.shutdown_requested_at is not None:
--- a/cleatyoke/process/optional_parts.py
+++ b/cleatyoke/process/optional_parts.py
@@ -81,7 +81,7 @@
 
         config = daemon.config
         nodes = daemon.directory.instances
-        staged_start = StagedStartRunner()
+        staged_start = StagedStartRunner(daemon.shutdown_requested)
         daemon.staged_start = staged_start
         state = await staged_start.restore_durable_state(fleet_settings, config.name, daemon.faults)
         boot = state.state.boot_number if state else 0
--- a/tests/test_power_loss.py
+++ b/tests/test_power_loss.py
@@ -31,6 +31,7 @@
 from cleatyoke.membership.wire import MemberId
 from cleatyoke.testbed.front_settings import settings_of
 from cleatyoke.testbed.run_report import RunReport
+from cleatyoke.testbed.scenario import KILL_DELAY_S
 from cleatyoke.testbed.scenario_file import read_scenario
 from cleatyoke.testbed.search import pool, run_values
 
@@ -285,3 +286,22 @@
         await front.log(process, "event='ready'")
         assert f"n1 {boot_numbers[-1] + 1} " in await front.call("show-fleet")
         assert "replica.hold s-003" in await front.call("show-replica")
+
+
+def test_a_shutdown_while_the_start_waits_for_others_is_over_before_sigkill(front: SingleFront) -> None:
+    """Guards against an exit after SIGKILL: the start waited out all its stages before it saw the SIGTERM."""
+    asyncio.run(terminate_while_starting(front), debug=True)
+
+
+async def terminate_while_starting(front: SingleFront) -> None:
+    path = front.folder / "config.json"
+    config = json.loads(path.read_text())
+    del config["known"]  # so that it waits for discovery too, and nobody is there
+    for lane in config["settings"]["Lanes"]:
+        lane["GiveUpS"] = 0.5
+    path.write_text(json.dumps(config))
+    front.write_fronts_file('["127.0.0.1:9"]')
+    async with front.process() as process:
+        await front.log(process, "passed='disk'")
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 0.5 + KILL_DELAY_S) == 0
