--- a/cleatyoke/testbed/soak_plan.py
+++ b/cleatyoke/testbed/soak_plan.py
@@ -20,6 +20,8 @@
 MAX_RATE = 60.0  # requests a second of the scenario's own load, as persistent clients add theirs
 MAX_FRONTS = 5
 CROWD_SEED_STEP = 3  # each so many-th seed has a crowd
+VIEW_SEED_STEP = 4  # each so many-th seed has fronts with a view and durable state, and a held node
+HOLD_AT = 0.5  # seconds after the load begins
 SOCKETS_IN_A_CROWD = 160  # descriptors that each front may use where a crowd fills them
 MAX_STOPPED_SECONDS = 0.3  # for which a process is stopped around its signals
 MAX_CLIENTS = 64  # of a kind, at each front
@@ -79,6 +81,10 @@
     is_crowded = seed % CROWD_SEED_STEP == 0
     if is_crowded and rng.random() < 0.5:
         values["trouble"].append({"at": 1.0, "kind": "silent_lists", "lasts_s": 4.0})
+    if seed % VIEW_SEED_STEP == 0:
+        values["view"] = {"enabled": True, "durable": True}
+        hold = {"at": HOLD_AT, "kind": "hold", "of": [0], "box": rng.randrange(fleet["boxes"])}
+        values["trouble"].append({**hold, "lasts_s": SOAK_SECONDS - HOLD_AT})
     values["soak"] = {
         "persistent": rng.randint(1, 3),
         "leaving": rng.randint(0, 2),
