--- a/cleatyoke/testbed/fault_relay.py
+++ b/cleatyoke/testbed/fault_relay.py
@@ -1,8 +1,8 @@
-"""Fault links: every datagram and stream among the fronts of a play goes through here, and meets what the
-scenario says of its link. Which message meets what is drawn from the message (``emulate.network``).
+"""Faulty links among the fronts of a run: every datagram and stream among them goes through a relay.
 
-Front number i listens at ``home(i)`` and is known to the others by ``known(i)``, which is here. A stream's
-sender is known by its host, as each front has its own.
+What a message meets is drawn from the message and its link (``emulation.network``). Front number i listens at
+``home(i)`` and is known to the others by ``known(i)``, an address of the relay. The sender of a stream is
+known by its host, as each front has its own.
 """
 
 from __future__ import annotations
@@ -15,19 +15,24 @@
 from cleatyoke.emulation.network import Network
 from cleatyoke.testbed.peer import LOCALHOST, hold_port_on
 
-HELD = 2.0  # seconds for which a stream across a cut stands without a word
-CHUNK = 65536
+CUT_STREAM_TIMEOUT = 2.0  # seconds for which a stream across a cut link stays open without a byte
+CHUNK_BYTES = 65536
 
 
 class FaultRelayProtocol(asyncio.DatagramProtocol):
+    """Passes the datagrams for one front to the relay."""
+
     def __init__(self, relay: FaultRelay, target: int) -> None:
         self.relay, self.target = relay, target
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Pass a datagram on; its sender is known by its host."""
         self.relay.datagram(self.relay.number(addr[0]), self.target, data)
 
 
 class FaultRelay:
+    """The relay of one run. To be made on the running event loop."""
+
     def __init__(self, fronts: int, seed: int) -> None:
         self.network = Network(seed, delay=0.0, jitter=0.0)
         self.fronts, self.loop = fronts, asyncio.get_running_loop()
@@ -43,22 +48,28 @@
 
     @staticmethod
     def host(front: int) -> str:
+        """Return the address at which a front listens."""
         return f"127.1.0.{front + 1}"
 
     def home(self, front: int) -> str:
+        """Return where a front listens, as HOST:PORT."""
         return f"{self.host(front)}:{self.port}"
 
     @staticmethod
     def known_host(front: int) -> str:
+        """Return the relay's address for a front."""
         return f"127.1.1.{front + 1}"
 
     def known(self, front: int) -> str:
+        """Return where the other fronts reach a front, as HOST:PORT."""
         return f"{self.known_host(front)}:{self.port}"
 
     def number(self, host: str) -> int:
+        """Return the number of the front with this address."""
         return int(host.rpartition(".")[2]) - 1
 
     async def start(self) -> None:
+        """Listen on every front's behalf."""
         for front in range(self.fronts):
             host = self.known_host(front)
             socket, _ = await self.loop.create_datagram_endpoint(
@@ -74,6 +85,7 @@
             self.servers.append(await asyncio.start_server(connected, host, self.port))
 
     def stop(self) -> None:
+        """End all listeners and streams."""
         for socket in self.sockets:
             socket.close()
         for server in self.servers:
@@ -84,19 +96,21 @@
             held.close()
 
     def datagram(self, source: int, target: int, data: bytes) -> None:
+        """Pass on what comes of a datagram, late or twice or not at all."""
         came = self.network.datagram(str(source), str(target), data)
         self.passed += len(came)
         for after, one in came:
             self.loop.call_later(after, self.sockets[target].sendto, one, (self.host(target), self.port))
 
     async def stream(self, target: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Carry a stream to a front, both ways, until one side ends it."""
         task = asyncio.current_task()
         assert task
         self.streams.add(task)
         source, far = self.number(writer.get_extra_info("peername")[0]), None
         try:
             if self.parted(source, target):
-                await asyncio.sleep(HELD)
+                await asyncio.sleep(CUT_STREAM_TIMEOUT)
                 return
             there, far = await asyncio.open_connection(self.host(target), self.port)
             way, back = self.pump(source, target, reader, far), self.pump(target, source, there, writer)
@@ -111,16 +125,18 @@
                         one.transport.abort()
 
     def parted(self, source: int, target: int) -> bool:
+        """Whether the link of two fronts is cut, one way or both."""
         one, other = str(source), str(target)
         return self.network.is_cut(one, other) or self.network.is_cut(other, one)
 
     async def pump(
         self, source: int, target: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        while data := await reader.read(CHUNK):
+        """Carry one direction of a stream, chunk by chunk."""
+        while data := await reader.read(CHUNK_BYTES):
             after = self.network.stream(str(source), str(target), data)
             if after is None:
-                await asyncio.sleep(HELD)
+                await asyncio.sleep(CUT_STREAM_TIMEOUT)
                 return
             await asyncio.sleep(after)
             writer.write(data)
--- a/cleatyoke/testbed/generator.py
+++ b/cleatyoke/testbed/generator.py
@@ -80,7 +80,7 @@
 
 
 def classes(rng: random.Random) -> list[Values]:
-    """One to six, of every repeat and scope; the window of a keyed one may be shorter than its deadline."""
+    """Draw one to six classes; the window of a keyed one may be shorter than its deadline."""
     out: list[Values] = []
     for number in range(rng.randint(1, 6)):
         aim = round(rng.uniform(0.1, 2.0), 2)
@@ -102,8 +102,10 @@
 
 
 def plans(rng: random.Random, hosts: int, largest: int, limited: bool) -> list[Values]:
-    """One to three. Where there is a limit, its store holds two largest requests for each host at the least
-    (brief, This kind of system), and its slack one.
+    """Draw one to three plans.
+
+    Where there is a limit, its burst holds two largest requests for each front at the least (brief, This kind
+    of system), and its slack one.
     """
     out: list[Values] = []
     for number in range(rng.randint(1, 3)):
@@ -124,6 +126,7 @@
 
 
 def terms(rng: random.Random) -> Values:
+    """Draw what the deployment allows."""
     report = rng.choice(list(LOAD_REPORTS))
     return {
         "attempts": rng.randint(1, 6),
@@ -138,6 +141,7 @@
 
 
 def trouble(rng: random.Random, fronts: int, boxes: int, seconds: float) -> Values:
+    """Draw one fault."""
     kind = rng.choice((*BACKEND_FAULTS, "replace", "restart", *FRONT_FAULTS, *LIST_FAULTS))
     count = boxes if kind in BACKEND_FAULTS else fronts
     chosen = sorted(rng.sample(range(count), rng.randint(1, count)))
--- a/cleatyoke/testbed/peer.py
+++ b/cleatyoke/testbed/peer.py
@@ -1,4 +1,4 @@
-"""What every stand-in that listens has in common: its address, its connections, their end."""
+"""What all test doubles that listen have in common: their address, connections and end."""
 
 from __future__ import annotations
 
@@ -10,11 +10,12 @@
 
 
 class TimedReader(asyncio.StreamReader):
-    """Knows when the latest bytes came, however late whoever reads them gets to it."""
+    """Knows when the latest bytes came, however late they are read."""
 
     came = 0.0  # on the loop's clock
 
     def feed_data(self, data: Any) -> None:
+        """Note the time, and buffer the bytes."""
         self.came = asyncio.get_running_loop().time()
         super().feed_data(data)
 
@@ -55,8 +56,10 @@
 
 
 class Peer:
-    """A listener on loopback whose connections are handled by the subclass. ``open`` counts those that stand,
-    ``accepted`` all that came. Its port stays from one life to the next.
+    """A listener on loopback whose connections are handled by the subclass.
+
+    ``open`` counts the connections that are open, ``accepted`` all that came. Its port stays the same when it
+    is stopped and started again.
     """
 
     def __init__(self) -> None:
@@ -67,6 +70,7 @@
         self.handlers: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> Any:
+        """Listen; returns itself."""
         loop = asyncio.get_running_loop()
         if self.held is None:
             self.held = hold_port()
@@ -80,6 +84,7 @@
         return self
 
     async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Handle a connection from its begin to its end."""
         handler = asyncio.current_task()
         assert handler
         self.accepted += 1
@@ -97,13 +102,15 @@
             self.end(writer)
 
     def end(self, writer: asyncio.StreamWriter) -> None:
+        """End a connection."""
         writer.transport.abort()
 
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve a connection; the subclass does. It may raise where the peer leaves or sends garbage."""
         raise NotImplementedError
 
     def stop(self) -> None:
-        """No new connections, and those that stand end."""
+        """Accept no new connections, and end those that are open."""
         if self.server:
             self.server.close()
             self.server = None
