--- a/cleatyoke/testbed/backend_model.py
+++ b/cleatyoke/testbed/backend_model.py
@@ -88,7 +88,8 @@
         if now >= ticket.starts_at:
             return False
         self.free_at -= ticket.ends_at - ticket.starts_at
-        self._ends.pop()
+        if self._ends:  # where others were withdrawn before it, its end may have been taken for over
+            self._ends.pop()
         return True
 
     def utilization(self, now: float) -> float:
--- a/tests/test_backend_model.py
+++ b/tests/test_backend_model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from cleatyoke.testbed.backend_model import BackendModel, RequestOutcome, chance
 from cleatyoke.testbed.scenario import BackendCapacity
@@ -31,6 +32,14 @@
             RequestOutcome.FULL,
         ]
 
+    def test_any_order_of_withdrawals_raises_nothing(self) -> None:
+        """Guards against a connection of the double that ended with an exception amid a soak."""
+        box = BackendModel(replace(self.power, max_queue=24), None)
+        tickets = [box.accept(10.0, "a", 2.0) for _ in range(8)]  # 0.1 s each
+        assert all(box.withdraw(10.05, ticket) for ticket in tickets[1:4])
+        box.accept(10.52, "a", 2.0)
+        assert all(box.withdraw(10.53, ticket) for ticket in tickets[6:])
+
     def test_what_waits_can_be_withdrawn_and_what_works_cannot(self) -> None:
         box = BackendModel(self.power, None)
         first, second = box.accept(10.0, "a", 2.0), box.accept(10.0, "b", 2.0)
