--- a/tests/test_staged_start.py
+++ b/tests/test_staged_start.py
@@ -117,6 +117,12 @@
         return int(one.getsockname()[1])
 
 
+def settings_of_one_front(folder: Path) -> FleetSettings:
+    """Of a front with a durable folder, and nobody to ask."""
+    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
+    return FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+
+
 def test_a_disk_that_does_not_answer_is_waited_for_shortly_and_counts_once_it_does(tmp_path: Path) -> None:
     """A front starts while its disk hangs.
 
@@ -135,8 +141,7 @@
             disk_answers.wait(10)
             return LoadedState(stored, [])
 
-    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
-    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    peers = settings_of_one_front(folder)
     faults = Faults(Metrics())
     startup = StagedStartRunner()
     with mock.patch("cleatyoke.fleet.restore.StateDatabase", HangingDatabase):
@@ -178,8 +183,7 @@
             disk_writes.wait(10)
             return super().save(state)
 
-    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
-    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    peers = settings_of_one_front(folder)
     faults = Faults(Metrics())
     startup = StagedStartRunner()
     with mock.patch("cleatyoke.fleet.restore.StateDatabase", HangingWrites):
@@ -207,8 +211,7 @@
 
 async def answer_while_sockets_open(folder: Path) -> None:
     stored = FrontState(HoldSet().hold(MemberId("n1", 5), "s-003"), 1 << 52)
-    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
-    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    peers = settings_of_one_front(folder)
     faults = Faults(Metrics())
     view = FleetView(peers, "n1", 1, 1, faults)
     changed: list[frozenset[str]] = []
@@ -229,8 +232,7 @@
 
 async def pass_a_stage_late(folder: Path) -> None:
     disk_writes = threading.Event()
-    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
-    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    peers = settings_of_one_front(folder)
     startup = StagedStartRunner()
 
     def block_past_the_bound() -> None:
@@ -250,8 +252,7 @@
 
 async def stop_beside_a_slow_disk(folder: Path) -> None:
     disk_writes = threading.Event()
-    listen = read_address(f"127.0.0.1:{free_port()}", "listen")
-    peers = FleetSettings("ours", listen, listen, [], 0, DEFAULT_FLEET_TIMING, durable_folder=folder)
+    peers = settings_of_one_front(folder)
     startup = StagedStartRunner()
     with mock.patch("cleatyoke.fleet.restore.StateDatabase", hanging_writes(disk_writes, first=2)):
         durable_state = await startup.restore_durable_state(peers, "n1", Faults(Metrics()))
