Lease parts of a warming node where the settings state no window

A node rate of 0 counts as the least home rate now. Red before: test_settings_that_state_no_window_of_a_warming_node_raise_nothing, ZeroDivisionError.

--- a/cleatyoke/coordination/slow_start_leases.py
+++ b/cleatyoke/coordination/slow_start_leases.py
@@ -100,9 +100,13 @@
         return out
 
     def _home_rate(self) -> float:
-        """Units a second of one front's home quota in a node that has just started."""
+        """Units a second of one front's home quota in a node that has just started.
+
+        Settings without a window say nothing of what a node bears.
+        """
         settings = self.settings()
-        node_rate = settings.slow_start_units / settings.safety.overload_after
+        window = settings.safety.overload_after
+        node_rate = settings.slow_start_units / window if window else 0.0
         return max(MIN_HOME_RATE, node_rate / max(1, settings.front_count))
 
     def _count_request(self, now: float, request: RequestArrived) -> None:
--- a/tests/test_slow_start_leases.py
+++ b/tests/test_slow_start_leases.py
@@ -160,3 +160,12 @@
     assert host.log[-1:] != [SendAttempt("next", NODE)]
     host.step(TimerFired(0), at=100.95)
     assert SendAttempt("next", NODE) in host.log
+
+
+def test_settings_that_state_no_window_of_a_warming_node_raise_nothing() -> None:
+    """Guards against a division by 0 before each step of the scheduler, which lost the step's events."""
+    stated = settings(front_count=4, slow_start_units=8.0, safety={"overload_after": 0.0})
+    warming = SlowStartLeases(QuotaLeases(-100.0, random.Random(1)), lambda: stated, lambda node: f"s-{node}")
+    warming.observe(0.0, 101.0, [EndpointUpdate(UpdateKind.SNAPSHOT, [endpoint(NODE, 3, started_at=100.0)])])
+    warming.observe(0.25, 101.0, [request("a", 5.0, shard=3)])
+    assert list(warming.demand(0.25)) == [warming_node_resource("s-7", 100.0)]
