Step again where the timer of the last stage of a start fires a clock tick early

By reading: the event loop may run a timer up to its clock's resolution early; the last stage's only step would then pass nothing and never come again, and show-recovery would say "lent" for ever. Only what operators see is concerned.

--- a/cleatyoke/fleet/startup.py
+++ b/cleatyoke/fleet/startup.py
@@ -88,8 +88,13 @@
                 wait.cancel()
         description = describe()
         self._step(*([Evidence(stage, description)] if description is not None else []))
+        self._wait_for_old_leases()
+
+    def _wait_for_old_leases(self) -> None:
+        """Step when the old leases have ended, and again where a timer fired a clock tick early."""
+        self._step()
         if self.staged_start.stage is StartStage.OLD_LEASES:
-            self.loop.call_at(self.staged_start.stage_ends_at(), self._step)
+            self.loop.call_at(self.staged_start.stage_ends_at(), self._wait_for_old_leases)
 
     def _step(self, *events: Evidence) -> None:
         for passed in self.staged_start.step(self.loop.time(), events):
