--- a/cleatyoke/testbed/front_process.py
+++ b/cleatyoke/testbed/front_process.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from cleatyoke.coordination.lease_terms import LeaseTerms
 from cleatyoke.testbed.clients import FrontAddress
 from cleatyoke.testbed.front_settings import settings_of
 from cleatyoke.testbed.scenario import ViewTerms
@@ -24,6 +25,7 @@
 ACCEPT_AFTER_SIGTERM_S = 0.3  # in which new connections keep coming (protocol page: 0.2 to 0.4 s)
 RESUME_S = 0.5  # in which a process that was stopped catches up
 COMMAND_TIMEOUT_S = 1.0  # for an operator's command
+OLD_LEASES_END_S = LeaseTerms().lender_expiry(0.0)  # from a start to the last stage of it at the latest
 EXPECTED_STATUSES = (0, -signal.SIGKILL)
 LAST_LINES = 3  # of the log, that an unexpected exit is reported with
 LAST_LINE_LENGTH = 200  # characters of each
@@ -46,6 +48,7 @@
         self.is_exit_expected = False
         self.written_endpoints: dict[str, Any] = {}  # the endpoint list in its settings file
         self.ready = asyncio.Event()
+        self.ready_at = 0.0  # on the run's clock
         self.log_task: asyncio.Task[None] | None = None
         self.expected_statuses: tuple[int, ...] = EXPECTED_STATUSES
         self.last_lines: deque[str] = deque(maxlen=LAST_LINES)
@@ -143,6 +146,7 @@
         if event.endswith("_fault"):
             self.run.report.fault_lines.append(f"front {self.number}: {line.strip()}")
         if event == "ready":
+            self.ready_at = self.run.clock()
             self.ready.set()
 
     async def shut_down(self) -> None:
@@ -193,6 +197,8 @@
         assert self.log_task
         self.is_exit_expected = True
         self.address.is_open = False
+        if self.run.clock() < self.ready_at + OLD_LEASES_END_S:
+            self.run.report.early_kills += 1
         self.run.checker.on_front_killed(self.number, self.run.clock())
         self.send_signal(signal.SIGKILL)
         await self.log_task
--- a/cleatyoke/testbed/run_report.py
+++ b/cleatyoke/testbed/run_report.py
@@ -26,6 +26,7 @@
     probes: int = 0
     max_warm_up_load: float = 0.0  # of any warming backend in a window, as a fraction of what it bears
     front_starts: int = 0
+    early_kills: int = 0  # of fronts before the leases of the process before them had ended
     backend_outcomes: Counter[str] = field(default_factory=Counter)  # what backends did with requests
     violations: list[str] = field(default_factory=list)
     log_counts: Counter[str] = field(default_factory=Counter)  # log lines by event, over all fronts
