--- a/cleatyoke/scheduling/fault_containment.py
+++ b/cleatyoke/scheduling/fault_containment.py
@@ -8,8 +8,7 @@
 
 from __future__ import annotations
 
-import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from cleatyoke.scheduling.actions import FailRequest, Reject
@@ -47,11 +46,10 @@
         self._faults = []
         return faults
 
-    @contextlib.contextmanager
-    def contain(self, subject: str) -> Iterator[None]:
+    def run(self, subject: str, part: Callable[[], None]) -> None:
         """Run a part of a step that concerns no request of its own."""
         try:
-            yield
+            part()
         except Exception as error:  # noqa: BLE001 - containing every exception is its job
             self.note(error, subject)
 
--- a/cleatyoke/scheduling/scheduler.py
+++ b/cleatyoke/scheduling/scheduler.py
@@ -109,17 +109,13 @@
             state.start()
             self.rules.concurrency.start()
         if self.rules.concurrency.is_due():
-            with self._containment.contain("control round"):
-                self.rules.concurrency.run_round()
-            with self._containment.contain("forget idle"):
-                self.forget_idle()
+            self._containment.run("control round", self.rules.concurrency.run_round)
+            self._containment.run("forget idle", self.forget_idle)
         for event in events:
             self._handle(event)
         while state.timers.next_at() <= now:
-            with self._containment.contain("timer"):
-                self._check(state.timers.take())
-        with self._containment.contain("dispatch"):
-            self.placement.dispatch()
+            self._containment.run("timer", self._check_next)
+        self._containment.run("dispatch", self.placement.dispatch)
         self._review()
         self._set_timer()
         return state.actions
@@ -210,6 +206,10 @@
         self.rules.estimates.add_classes(added)
         self.state.table.add_classes(added)
 
+    def _check_next(self) -> None:
+        """Look again at the subject of the earliest timer, which has fired."""
+        self._check(self.state.timers.take())
+
     def _check(self, subject: TimerSubject) -> None:
         """Look again at the subject of a timer that has fired."""
         if subject is Poll.ENDPOINTS:
