--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -75,7 +75,7 @@
             await asyncio.sleep(self.work(trace))
             if method == "PUT":
                 self.stored[block] = body
-                run.stored_at = self.record.write(f"server stores {body.decode()} ({trace})")
+                run.stored_at = self.record.write(f"server stores {len(body)} bytes {body[:24]!r} ({trace})")
         answer = b"done " + trace.encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(answer), answer))
         run.answered_at = self.record.write(f"server answers {method} {block} {trace}")
@@ -91,7 +91,10 @@
 
 @dataclass(slots=True)
 class Answer:
-    """The front's answer to a request; status 0: the connection ended without one."""
+    """The front's answer to a request; status 0: the connection ended without one.
+
+    ``sent_at``: when the request's last byte was written to the connection.
+    """
 
     status: int
     body: bytes
@@ -107,12 +110,14 @@
         self.host = host
         self.port = port
         self.record = record
+        self.written_at: float | None = None  # when the last request's last byte was written
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def connect(self) -> None:
         """Open a connection, in place of the one before."""
         self.close()
         self._streams = await asyncio.open_connection(self.host, self.port)
+        self._streams[1].transport.set_write_buffer_limits(0)  # drain() waits until the kernel has all bytes
 
     def close(self) -> None:
         """Close the connection."""
@@ -129,9 +134,12 @@
         lines = [f"PUT /api?block={block} HTTP/1.1", "Host: api.internal", f"X-Trace-Id: {trace}"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         lines += [f"Content-Length: {len(body)}", "", ""]
-        writer.write("\r\n".join(lines).encode() + body)
         sent_at = self.record.write(f"{self.name} sends {trace} for block {block}")
+        self.written_at = None
         try:
+            writer.write("\r\n".join(lines).encode() + body)
+            await writer.drain()
+            self.written_at = sent_at = self.record.write(f"{self.name} has written {trace} to its last byte")
             first, answer_fields = await read_head(reader)
             content = await reader.readexactly(int(answer_fields.get("content-length", "0")))
         except (asyncio.IncompleteReadError, OSError) as error:
