--- a/review/standins/front.py
+++ b/review/standins/front.py
@@ -121,8 +121,7 @@
         """Write the configuration, start the process and wait until its log says ``ready``."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self.state.mkdir(parents=True, exist_ok=True)
-        config_path = self.folder / "config.json"
-        config_path.write_text(json.dumps(config))
+        config_path = self.write_config(config)
         command = str(tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"])
         if fronts_file:
             fronts_path = self.folder / "fronts.toml"
@@ -154,6 +153,13 @@
             msg = f"{self.label} did not become ready"
             raise CaseNotRunError(msg)
 
+    def write_config(self, config: dict[str, Any]) -> Path:
+        """Put the configuration file in place of the one before; return its path."""
+        new_path, path = self.folder / "config.new", self.folder / "config.json"
+        new_path.write_text(json.dumps(config))
+        new_path.replace(path)
+        return path
+
     async def _read_log(self, process: asyncio.subprocess.Process) -> None:
         assert process.stderr
         while line := (await process.stderr.readline()).decode(errors="replace").rstrip():
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -26,13 +26,18 @@
     """A chunk server with several cores: begins a request once its last byte has come and a core is free.
 
     ``work``: returns the seconds that a request takes, by its trace id. A write stores its body under its
-    block when its work is done. ``runs`` has all requests in the order in which they came.
+    block when its work is done. ``runs`` has all requests in the order in which they came. While it drains,
+    it turns requests away.
     """
 
-    def __init__(self, host: str, record: Record, cores: int, work: Callable[[str], float]) -> None:
+    def __init__(
+        self, host: str, record: Record, cores: int, work: Callable[[str], float], label: str = "server"
+    ) -> None:
         self.host = host
         self.record = record
         self.work = work
+        self.label = label
+        self.is_draining = False
         self.port = 0
         self.runs: list[Run] = []
         self.stored: dict[str, bytes] = {}
@@ -69,16 +74,22 @@
         self, method: str, target: str, trace: str, body: bytes, writer: asyncio.StreamWriter
     ) -> None:
         block = target.partition("block=")[2][:16]
-        run = Run(trace, block, body, self.record.write(f"server gets {method} {block} {trace}"))
+        run = Run(trace, block, body, self.record.write(f"{self.label} gets {method} {block} {trace}"))
         self.runs.append(run)
+        if self.is_draining:
+            writer.write(b"HTTP/1.1 503 X\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+            run.answered_at = self.record.write(f"{self.label} turns away {method} {block} {trace}")
+            return
         async with self._cores:
             await asyncio.sleep(self.work(trace))
             if method == "PUT":
                 self.stored[block] = body
-                run.stored_at = self.record.write(f"server stores {len(body)} bytes {body[:24]!r} ({trace})")
+                run.stored_at = self.record.write(
+                    f"{self.label} stores {len(body)} bytes {body[:24]!r} ({trace})"
+                )
         answer = b"done " + trace.encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(answer), answer))
-        run.answered_at = self.record.write(f"server answers {method} {block} {trace}")
+        run.answered_at = self.record.write(f"{self.label} answers {method} {block} {trace}")
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
@@ -127,13 +138,21 @@
 
     async def put(self, trace: str, block: str, body: bytes, fields: dict[str, str]) -> Answer:
         """Send a write, and return its answer; opens a connection where there is none."""
+        return await self._send("PUT", trace, block, body, fields)
+
+    async def get(self, trace: str, block: str, fields: dict[str, str]) -> Answer:
+        """Send a read, and return its answer; opens a connection where there is none."""
+        return await self._send("GET", trace, block, b"", fields)
+
+    async def _send(self, method: str, trace: str, block: str, body: bytes, fields: dict[str, str]) -> Answer:
         if self._streams is None:
             await self.connect()
         assert self._streams
         reader, writer = self._streams
-        lines = [f"PUT /api?block={block} HTTP/1.1", "Host: api.internal", f"X-Trace-Id: {trace}"]
+        lines = [f"{method} /api?block={block} HTTP/1.1", "Host: api.internal", f"X-Trace-Id: {trace}"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
-        lines += [f"Content-Length: {len(body)}", "", ""]
+        lines += [f"Content-Length: {len(body)}"] if method == "PUT" else []
+        lines += ["", ""]
         sent_at = self.record.write(f"{self.name} sends {trace} for block {block}")
         self.written_at = None
         try:
