--- a/review/2/case.py
+++ b/review/2/case.py
@@ -186,4 +186,4 @@
     return [f"{text}, with {readers.began - readers.whole} answers under way" if watch_ended else text]
 
 
-run_case(FOLDER, play)
+run_case(FOLDER / "record.txt", play)
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,8 @@
 #!/bin/sh
-# Plays the case; exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Plays the case and writes record.txt; exit status 1 if the rule was broken, 0 if it held, 2 if the case
+# could not run. With TROUBLE=0 it does the same without the disruption.
+TROUBLE=${TROUBLE-1}
+export TROUBLE
 cd "$(dirname "$0")" || exit 2
 ../../.venv/bin/python -B case.py &
 case=$!
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -134,4 +134,4 @@
     ]
 
 
-run_case(FOLDER, play)
+run_case(FOLDER / "record.txt", play)
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -51,12 +51,13 @@
         return int(probe.getsockname()[1])
 
 
-def run_case(folder: Path, play: Callable[[Record], Awaitable[list[str]]]) -> None:
-    """Play a case and exit: 10 where ``play`` returns what broke the rule, 0 for none, 2 if it could not run.
+def run_case(path: Path, play: Callable[[Record], Awaitable[list[str]]]) -> None:
+    """Play a case, with its record at ``path``, and exit.
 
+    The status is 10 where ``play`` returns what broke the rule, 0 for none, 2 if the case could not run.
     SIGTERM ends the case like any other end, so that no process is left running.
     """
-    record = Record(folder / "record.txt")
+    record = Record(path)
 
     async def bounded() -> list[str]:
         task = asyncio.current_task()
