Bound what streamed answers hold, so that slow readers cannot exhaust memory

Cause: each answer held up to 512 KiB in its body's buffer and 256 KiB in the client's transport, and nothing bounded the sum. Change: a piece is written as it is received and pauses its backend until the kernel has taken it. Pieces have 16 KiB, and up to 256 KiB out of a share that all answers have together. The shares of answers, bodies and connections are divided in limits/memory_budget.py, under both fronts; config/socket_budget.py no longer reaches into http/. Short answers that arrive in parts, and undelivered ones, are accounted for too. The exporter has the bytes held (held_bytes). The recording of settings differs in "bytes for bodies" alone: 45% of the memory was more than the process and its connections leave free (64 MB: 30.2 MB of bodies beside 37 MB of an idle front). The recorded figure is the new share.

--- a/cleatyoke/admin/prometheus.py
+++ b/cleatyoke/admin/prometheus.py
@@ -43,6 +43,8 @@
         """Yield each metric; called by ``prometheus-client`` at each scrape."""
         metrics = self.metrics
         yield self._requests()
+        if self.metrics.held_bytes:
+            yield self._held_bytes()
         listed, down = self.node_counts()
         # Metric names and help texts are a stable interface with older terms: "boxes" and "hosts" are nodes,
         # "taken" is accepted, "turned down" is rejected.
@@ -62,6 +64,14 @@
         for name, value in self.gauges().items():
             yield GaugeMetricFamily(f"{PREFIX}{name}", "Distributed configuration", value=value)
 
+    def _held_bytes(self) -> Metric:
+        family = GaugeMetricFamily(
+            f"{PREFIX}held_bytes", "Bytes that clients make the front hold, by use", labels=["use"]
+        )
+        for use, count in self.metrics.held_bytes.items():
+            family.add_metric([use], count())
+        return family
+
     def _requests(self) -> Metric:
         family = CounterMetricFamily(
             f"{PREFIX}requests", "Requests answered, by class and outcome", labels=["class", "outcome"]
--- a/cleatyoke/config/deployment.py
+++ b/cleatyoke/config/deployment.py
@@ -34,9 +34,9 @@
     DEFAULT_SOCKETS,
     RESERVED_SOCKETS,
     SocketBudget,
-    body_memory_bytes,
 )
 from cleatyoke.config.table import TableReader
+from cleatyoke.limits.memory_budget import MemoryBudget
 from cleatyoke.scheduling.settings import SchedulerSettings
 
 MAX_COUNTED_CLIENT_TIMEOUT = 3.0  # seconds; longer client timeouts do not extend the grace period
@@ -94,7 +94,7 @@
     classes: dict[str, int]  # index by name
     plans: dict[str, int]  # index by name
     client_timeouts: list[float]  # by class: maximum seconds that its clients wait; infinite: not stated
-    body_memory_bytes: int  # limit for the bodies of all requests in flight
+    memory: MemoryBudget
     changes_data: list[bool | None]  # by class, None: unknown; empty: the settings do not state it
     shard_count: int  # shards are numbered from 0; 0: the settings do not state it
     zones: dict[str, int]  # index by name
@@ -125,7 +125,7 @@
         These are the scheduler's settings, ``classes``, ``plans``, ``client_timeouts``, ``changes_data``,
         ``shard_count``, ``drain_grace``, and the address of discovery if it changed in the file. A changed
         address overrides RELAY_DISCOVERY, because the environment of a running process cannot be changed.
-        ``cached_endpoints``, ``seed``, ``zones`` and ``body_memory_bytes`` are used at startup only, and the
+        ``cached_endpoints``, ``seed``, ``zones`` and ``memory`` are used at startup only, and the
         log's ``next_start`` does not list them. A file that lacks a key of the previous file is rejected, as
         it may be incompletely written.
         """
@@ -212,7 +212,8 @@
     discovery_in_file = root.address("discovery") if "discovery" in values else Address("", 0)
     cached_endpoints = root.get("known", {})  # {}: no cached list
     scheduler_settings = read_settings(settings_table.values, seed)
-    memory_bytes = body_memory_bytes(root.table("limits", {}).number("memory_mb", 0.0))
+    socket_budget = SocketBudget.divide(sockets, fronts.sftp is not None)
+    memory_mb = root.table("limits", {}).number("memory_mb", 0.0)
     front_settings = read_front_settings(settings_table)
     return Config(
         name=name,
@@ -220,13 +221,13 @@
         discovery=discovery,
         discovery_in_file=discovery_in_file,
         seed=seed,
-        socket_budget=SocketBudget.divide(sockets, fronts.sftp is not None),
+        socket_budget=socket_budget,
         cached_endpoints=cached_endpoints,
         settings=scheduler_settings,
         classes=class_and_plan_indexes.classes,
         plans=class_and_plan_indexes.plans,
         client_timeouts=front_settings.client_timeouts,
-        body_memory_bytes=memory_bytes,
+        memory=MemoryBudget.divide(memory_mb, socket_budget.clients, fronts.sftp is not None),
         changes_data=front_settings.changes_data,
         shard_count=front_settings.shard_count,
         zones=front_settings.zones,
--- a/cleatyoke/config/socket_budget.py
+++ b/cleatyoke/config/socket_budget.py
@@ -1,18 +1,14 @@
-"""Limits on the sockets and memory that each part of the process may use."""
+"""Limits on the sockets that each part of the process may use."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from cleatyoke.http.body_limits import MAX_UPLOAD_BYTES
-
 DEFAULT_SOCKETS = 1024  # the deployment page's maximum; used if the configuration sets none
 RESERVED_SOCKETS = 56  # listeners, log, two discovery connections, files, connections being closed
 MAX_FILE_SESSIONS = 32
 _SOCKETS_PER_FILE_SESSION = 3  # the client's connection, and one active and one idle backend connection
 _BUDGET_PER_FILE_SESSION = 12  # sockets; as a session uses 3, the file service gets a quarter at most
-_BODY_MEMORY_FRACTION = 0.45  # of the memory available to the front
-_MIN_BODY_MEMORY_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,13 +38,3 @@
             backends=connections,
             file_sessions=file_sessions,
         )
-
-
-def body_memory_bytes(memory_mb: float) -> int:
-    """Return the bytes of memory that request bodies may occupy; ``memory_mb``: the front's, 0 if unknown.
-
-    The process itself uses about 30 MB.
-    """
-    if not memory_mb:
-        return _MIN_BODY_MEMORY_BYTES + MAX_UPLOAD_BYTES
-    return max(_MIN_BODY_MEMORY_BYTES, int(memory_mb * _BODY_MEMORY_FRACTION * 1024 * 1024))
--- a/cleatyoke/http/answers.py
+++ b/cleatyoke/http/answers.py
@@ -13,7 +13,8 @@
 from aiohttp.http import HttpResponseParser, RawResponseMessage
 from aiohttp.http_exceptions import HttpProcessingError
 
-from cleatyoke.http.messages import MAX_UNSTREAMED_BYTES, Header, MalformedResponseError
+from cleatyoke.http.messages import Header, MalformedResponseError
+from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.scheduling.events import AttemptOutcome
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024  # longest response body: twice what backends send
@@ -80,13 +81,12 @@
                 return None
             self._read_head(head)
         if self._framing is _Framing.UNTIL_CLOSE:
-            return self._begin_streaming() if len(self._buffer) > MAX_UNSTREAMED_BYTES else None
+            return self.begin_streaming() if len(self._buffer) > MAX_UNSTREAMED_BYTES else None
         if self._framing is _Framing.CHUNKED:
             return self._read_chunked()
         assert self._length is not None
         if self._length > MAX_UNSTREAMED_BYTES:
-            self._bytes_left = self._length
-            return self._begin_streaming()
+            return self.begin_streaming()
         if len(self._buffer) < self._length:
             return None
         return self._complete(bytes(self._buffer[: self._length]), is_clean=len(self._buffer) == self._length)
@@ -186,7 +186,7 @@
         self._parse_chunks(data)
         if self._chunks.is_eof():
             return self._complete(self._chunks.read_nowait(), is_clean=self._is_clean)
-        return self._begin_streaming() if self._chunks.total_bytes > MAX_UNSTREAMED_BYTES else None
+        return self.begin_streaming() if self._chunks.total_bytes > MAX_UNSTREAMED_BYTES else None
 
     def _parse_chunks(self, data: bytes) -> None:
         assert self._chunks is not None
@@ -205,8 +205,10 @@
             msg = "too large"
             raise MalformedResponseError(msg)
 
-    def _begin_streaming(self) -> BackendResponse:
+    def begin_streaming(self) -> BackendResponse:
+        """Return the response with the part of its body that has been received; the rest is streamed."""
         assert self._message
+        self._bytes_left = self._length or 0
         data = bytes(self._buffer)
         self._buffer.clear()
         status, headers = self._message.code, self._message.headers
--- a/cleatyoke/http/backend_connection.py
+++ b/cleatyoke/http/backend_connection.py
@@ -1,4 +1,4 @@
-"""Connections to backends, and response bodies that are streamed through the front.
+"""Connections to backends.
 
 Connections are asyncio protocols that use aiohttp's response parser. aiohttp's client is not used, as it
 could give a client the response to another request: bytes received while a connection is pooled are kept and
@@ -9,25 +9,29 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 
 from cleatyoke.http.answers import BackendResponse, ResponseReader
 from cleatyoke.http.messages import MalformedResponseError
-from cleatyoke.transport.sockets import has_unread_bytes
+from cleatyoke.http.streamed_body import StreamedBody
+from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
+from cleatyoke.limits.memory_pool import MemoryPool
+from cleatyoke.transport.sockets import has_unread_bytes, limit_read_size
 
 # Seconds for the rest of a response's head after its first byte, and between reads of its body: the tolerance
 # that the protocol page gives every time limit. Backends finish a response before sending it.
 RESPONSE_TIMEOUT = 0.05
-STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte received or read after which a streamed body fails
-STREAM_HIGH_WATER = 256 * 1024  # buffered bytes of a streamed body above which reading pauses
-STREAM_LOW_WATER = 64 * 1024  # buffered bytes below which reading resumes
 
 
 class BackendConnection(asyncio.Protocol):
-    """A connection to a backend that carries one exchange at a time. Times are loop times in seconds."""
+    """A connection to a backend that carries one exchange at a time. Times are loop times in seconds.
 
-    def __init__(self) -> None:
+    ``answers``: the memory that answers share. A short answer that arrives in parts takes its memory there;
+    if there is none, it is streamed like a long one.
+    """
+
+    def __init__(self, answers: MemoryPool) -> None:
+        self.answers = answers
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.streamed_body: StreamedBody | None = None  # body of the current response, if it is streamed
@@ -39,6 +43,7 @@
         self._reader: ResponseReader | None = None
         self._response: asyncio.Future[BackendResponse] | None = None
         self._response_timer: asyncio.TimerHandle | None = None
+        self._has_reserved = False  # the memory of a short answer that arrives in parts
         self._on_request_written: Callable[[], None] | None = None  # called once the last byte is written
         self._unsent_pieces: list[bytes] = []  # not yet passed to the transport, the last piece first
         self._is_writing_paused = False  # the transport still buffers bytes
@@ -48,6 +53,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(0)
+        limit_read_size(transport, MAX_UNSTREAMED_BYTES)
 
     def pause_writing(self) -> None:
         """Stop writing pieces until the transport's buffer is empty."""
@@ -83,7 +89,7 @@
             self.abort()
             return
         try:
-            response = self._reader.feed(data)
+            response = self._feed(self._reader, data)
         except MalformedResponseError as error:
             self._fail(error)
             return
@@ -91,11 +97,23 @@
             self._restart_response_timer(self._reader)
             return
         if response.is_streamed:
-            self.streamed_body = StreamedBody(self, response)
-            if self._reader.is_complete:
-                self.streamed_body.finish(connection_reusable=self._reader.is_connection_reusable())
+            self._begin_streaming(self._reader, response)
         self._response.set_result(response)
 
+    def _feed(self, reader: ResponseReader, data: bytes) -> BackendResponse | None:
+        response = reader.feed(data)
+        if response is not None or not reader.is_head_complete or self._has_reserved:
+            return response
+        self._has_reserved = self.answers.reserve(MAX_UNSTREAMED_BYTES)
+        return None if self._has_reserved else reader.begin_streaming()
+
+    def _begin_streaming(self, reader: ResponseReader, response: BackendResponse) -> None:
+        assert self.transport
+        body = StreamedBody(self.transport, response.body, response.length, self.end_streaming)
+        self.streamed_body = body
+        if reader.is_complete:
+            body.finish(connection_reusable=reader.is_connection_reusable())
+
     def _feed_streamed(self, body: StreamedBody, reader: ResponseReader, data: bytes) -> None:
         try:
             body.append(reader.feed_body(data))
@@ -151,9 +169,11 @@
         return not has_unread_bytes(self.transport)
 
     def end_streaming(self) -> None:
-        """Forget a streamed body that its reader has closed."""
+        """Forget a streamed body that its owner has closed, and read as for a short answer again."""
         self.streamed_body = None
         self._reader = None
+        if self.transport:
+            limit_read_size(self.transport, MAX_UNSTREAMED_BYTES)
 
     async def exchange(self, request: list[bytes], on_request_written: Callable[[], None]) -> BackendResponse:
         """Send a request, given in pieces, and return its response; a long body is in ``streamed_body``.
@@ -176,90 +196,9 @@
             self._on_request_written = None
             if self.streamed_body is None:
                 self._reader = None
+            if self._has_reserved:
+                self._has_reserved = False
+                self.answers.release(MAX_UNSTREAMED_BYTES)
             if self._response_timer:
                 self._response_timer.cancel()
                 self._response_timer = None
-
-
-class StreamedBody:
-    """The body of a long response, streamed from the backend to the client.
-
-    The owner must read and close it. If no data is received or read for ``STREAM_IDLE_TIMEOUT`` seconds, the
-    body fails and closes itself, so that its connection is not leaked.
-    """
-
-    def __init__(self, connection: BackendConnection, response: BackendResponse) -> None:
-        self.connection = connection
-        self.length = response.length  # bytes; None if unknown until the end
-        self.on_close: Callable[[bool], None] | None = None  # called with whether the connection is reusable
-        self.buffered_bytes = 0
-        self._pieces: deque[bytes] = deque()
-        self._is_complete = False
-        self._connection_reusable = False
-        self._error: MalformedResponseError | None = None
-        self._progress = asyncio.Event()
-        self._is_reading_paused = False
-        self._idle_timer = connection.loop.call_later(STREAM_IDLE_TIMEOUT, self._time_out)
-        self.append(response.body)
-
-    def append(self, piece: bytes) -> None:
-        """Buffer a piece; above ``STREAM_HIGH_WATER`` buffered bytes, pause reading from the backend."""
-        if piece:
-            self._pieces.append(piece)
-            self.buffered_bytes += len(piece)
-        if self.buffered_bytes > STREAM_HIGH_WATER and not self._is_reading_paused:
-            transport = self.connection.transport
-            if transport:
-                self._is_reading_paused = True
-                transport.pause_reading()
-        self._note_progress()
-
-    def finish(self, *, connection_reusable: bool) -> None:
-        """Mark the body as complete."""
-        self._is_complete = True
-        self._connection_reusable = connection_reusable
-        self._note_progress()
-
-    def fail(self, error: MalformedResponseError) -> None:
-        """Mark the body as failed, unless it is complete; the first error is kept."""
-        if not self._is_complete:
-            self._error = self._error or error
-        self._note_progress()
-
-    def _note_progress(self) -> None:
-        self._progress.set()
-        self._idle_timer.cancel()
-        if self.on_close or not self._is_complete:
-            self._idle_timer = self.connection.loop.call_later(STREAM_IDLE_TIMEOUT, self._time_out)
-
-    def _time_out(self) -> None:
-        self.fail(MalformedResponseError("streamed response body idle for too long"))
-        self.close()
-
-    async def read(self) -> bytes:
-        """Return the next bytes, empty at the end; raises ``MalformedResponseError`` if truncated."""
-        while not self._pieces:
-            if self._is_complete:
-                return b""
-            if self._error:
-                raise self._error
-            self._progress.clear()
-            await self._progress.wait()
-        piece = self._pieces.popleft()
-        self.buffered_bytes -= len(piece)
-        self._note_progress()
-        if self._is_reading_paused and self.buffered_bytes < STREAM_LOW_WATER and self.connection.transport:
-            self._is_reading_paused = False
-            self.connection.transport.resume_reading()
-        return piece
-
-    def close(self) -> None:
-        """Release the connection; ``on_close`` pools it if the body is complete, and aborts it otherwise."""
-        self._idle_timer.cancel()
-        self.connection.end_streaming()
-        if self._is_reading_paused and self.connection.transport:
-            self.connection.transport.resume_reading()
-        on_close = self.on_close
-        self.on_close = None
-        if on_close:
-            on_close(self._is_complete and self._connection_reusable)
--- a/cleatyoke/http/backends.py
+++ b/cleatyoke/http/backends.py
@@ -16,9 +16,12 @@
     decode_served_elsewhere,
     decode_utilization,
 )
-from cleatyoke.http.backend_connection import BackendConnection, StreamedBody
+from cleatyoke.http.backend_connection import BackendConnection
 from cleatyoke.http.messages import MalformedResponseError
 from cleatyoke.http.requests import ClientRequest, encode_attempt, encode_load_probe
+from cleatyoke.http.streamed_body import StreamedBody
+from cleatyoke.limits.memory_budget import MemoryBudget
+from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.process.metrics import Metrics
 from cleatyoke.scheduling.events import AttemptOutcome
 
@@ -58,6 +61,8 @@
         self.connect_timeout = connect_timeout
         self.max_connections = max_connections
         self.metrics = metrics or Metrics()
+        # The memory that answers share; the server sets its own.
+        self.answers = MemoryPool(MemoryBudget.divide(0.0, max_connections, False).answers)
         self.idle_timeout = idle_close * IDLE_FRACTION
         self.pools: dict[int, ConnectionPool] = {}
         self.open_connections = 0
@@ -153,7 +158,7 @@
         async with asyncio.timeout(self.connect_timeout):
             loop = asyncio.get_running_loop()
             _, connection = await loop.create_connection(
-                BackendConnection, pool.address.host, pool.address.port
+                partial(BackendConnection, self.answers), pool.address.host, pool.address.port
             )
         return connection
 
--- a/cleatyoke/http/body_limits.py
+++ b/cleatyoke/http/body_limits.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Hashable
 
-UNRESERVED_BYTES = 64 * 1024  # per body, without a reservation: the connection limit bounds their sum
-MAX_UPLOAD_BYTES = 32 * 1024 * 1024 + UNRESERVED_BYTES  # longest accepted body
+from cleatyoke.limits.memory_budget import MAX_UPLOAD_BYTES, UNRESERVED_BYTES
+
 BODY_GRACE = 2.5  # seconds that any body may take: clients may stall for 2 s
 MIN_BODY_RATE = 32 * 1024  # bytes/s required beyond that: half the rate of the slowest client
 
--- a/cleatyoke/http/client_connection.py
+++ b/cleatyoke/http/client_connection.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 import structlog
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from cleatyoke.limits.memory_budget import CLIENT_READ_BYTES
+from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.transport.closing import ClosingTransport
-from cleatyoke.transport.sockets import has_unread_bytes, is_ended
+from cleatyoke.transport.sockets import has_unread_bytes, is_ended, limit_read_size
 
 if TYPE_CHECKING:
     from cleatyoke.http.client_connections import ClientConnections
@@ -22,6 +26,8 @@
 HEAD_TIMEOUT = 2.6  # seconds for a head from its first byte, if the idle timeout expires while it arrives
 MAX_HEAD_FIELD_BYTES = 4096  # longest line or header field of a head
 MAX_HEAD_FIELDS = 64  # header fields of a head: the protocol page has nine
+STALL_TIMEOUT = 30.0  # seconds in which a client must take some of its answer: at 64 kB/s the kernel's send
+# buffer of 4 MiB accepts more bytes only every 22 s
 READ_DELAY = 0.001  # seconds until received bytes are read: the loop reads sockets before it runs timers
 log = structlog.get_logger()
 
@@ -43,6 +49,7 @@
             access_log=None,  # type: ignore[arg-type]  # None disables it
             auto_decompress=False,
             lingering_time=0.0,
+            read_bufsize=CLIENT_READ_BYTES // 2,  # aiohttp holds twice as much of a body that is not read
             max_line_size=MAX_HEAD_FIELD_BYTES,
             max_field_size=MAX_HEAD_FIELD_BYTES,
             max_headers=MAX_HEAD_FIELDS,
@@ -54,10 +61,15 @@
         self.is_request_complete = False  # that request has been received completely
         self.response_timeout: asyncio.Timeout | None = None  # set while the request is being served
         self._idle_extension_used = False  # unread bytes have extended the idle timeout once
+        self.on_writable: Callable[[], None] | None = None  # called once all written bytes are handed over
+        self._stall_timer: asyncio.TimerHandle | None = None  # set while the client does not take its answer
+        self._release_answer: Callable[[], None] | None = None  # frees the memory of an undelivered answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wrap the transport, so that closing it does not lose a response."""
         assert isinstance(transport, asyncio.Transport)
+        limit_read_size(transport, CLIENT_READ_BYTES)
+        transport.set_write_buffer_limits(0)
         connections = self.connections
         super().connection_made(
             ClosingTransport(transport, self, connections.add_closing, connections.remove_closing)
@@ -67,8 +79,42 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Remove the connection; aiohttp cancels a request that is being handled."""
         self.connections.remove(self)
+        self._cancel_stall_timer()
+        self._free_answer()
         super().connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        """Note that the kernel did not take all of the answer, and limit the time for the rest."""
+        super().pause_writing()
+        assert self.transport is not None
+        self._watch_for_stall(self.transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Note that the kernel has taken all that was written."""
+        self._cancel_stall_timer()
+        super().resume_writing()
+        if self.on_writable:
+            self.on_writable()
+
+    def _watch_for_stall(self, unsent: int) -> None:
+        self._stall_timer = self._loop.call_later(STALL_TIMEOUT, self._abort_if_stalled, unsent)
+
+    def _abort_if_stalled(self, unsent_before: int) -> None:
+        """Abort the connection if none of the unsent bytes were taken since the last check."""
+        if self.transport is None:
+            return
+        unsent = self.transport.get_write_buffer_size()
+        if unsent < unsent_before:
+            self._watch_for_stall(unsent)
+            return
+        log.info("client_stalled", unsent=unsent)
+        self.transport.abort()
+
+    def _cancel_stall_timer(self) -> None:
+        if self._stall_timer:
+            self._stall_timer.cancel()
+            self._stall_timer = None
+
     def is_evictable(self) -> bool:
         """Whether no byte of a request has been received, including bytes not yet read by the loop."""
         return (
@@ -124,7 +170,18 @@
         self.head_started_at = None
         self._idle_extension_used = False
 
+    def hold_answer(self, size: int, answers: MemoryPool) -> None:
+        """Account for an answer of ``size`` bytes in ``answers`` until the client has taken it."""
+        answers.charge(size)
+        self._release_answer = partial(answers.release, size)
+
+    def _free_answer(self) -> None:
+        if self._release_answer:
+            self._release_answer()
+            self._release_answer = None
+
     def _end_request(self) -> None:
+        self._free_answer()
         self.is_busy = False
         self.is_request_complete = False
         if self.transport is not None:
--- a/cleatyoke/http/messages.py
+++ b/cleatyoke/http/messages.py
@@ -7,8 +7,6 @@
 
 from cleatyoke.config.addresses import Address
 
-MAX_UNSTREAMED_BYTES = 64 * 1024  # longest body that is sent or read as a whole; longer ones are streamed
-
 
 class Header:
     """The platform's header names (protocol page, Clients to fronts, and Fronts to chunk servers)."""
--- a/cleatyoke/http/requests.py
+++ b/cleatyoke/http/requests.py
@@ -12,13 +12,13 @@
 from cleatyoke.config.addresses import Address
 from cleatyoke.config.deployment import Config
 from cleatyoke.http.messages import (
-    MAX_UNSTREAMED_BYTES,
     Header,
     IdempotencyKeyError,
     IoField,
     MessageError,
     host_header,
 )
+from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.scheduling.events import decode_shard
 from cleatyoke.scheduling.settings import Idempotency
 
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -20,16 +20,18 @@
 from cleatyoke.config.addresses import Address
 from cleatyoke.config.deployment import Config
 from cleatyoke.core import ATTEMPT_MARGIN, AttemptResult, Core, Failed, MayBegin, Rejected, Served
-from cleatyoke.http.backend_connection import StreamedBody
 from cleatyoke.http.backends import BackendPools
-from cleatyoke.http.body_limits import UNRESERVED_BYTES, BodyMemory
+from cleatyoke.http.body_limits import BodyMemory
 from cleatyoke.http.body_reader import BodyTooLongError, read_body
 from cleatyoke.http.client_connection import ClientConnection
 from cleatyoke.http.client_connections import ClientConnections
 from cleatyoke.http.messages import Header, IdempotencyKeyError, MessageError
 from cleatyoke.http.requests import ClientRequest, decode_request
+from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.http.streaming import IS_TRUNCATED, forward_streamed_body
 from cleatyoke.http.trace_ids import TraceIds
+from cleatyoke.limits.memory_budget import UNRESERVED_BYTES
+from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.process.front_drain import FrontDrain
 from cleatyoke.scheduling.events import RequestArrived
 from cleatyoke.transport.listener import Listener
@@ -64,7 +66,10 @@
         self.is_ready = is_ready
         self.drain = drain or FrontDrain()
         self.metrics = backends.metrics
-        self.body_memory = BodyMemory(config.body_memory_bytes)
+        self.body_memory = BodyMemory(config.memory.long_bodies)
+        self.answers = MemoryPool(config.memory.answers)
+        backends.answers = self.answers  # its connections and the server hold parts of the same answers
+        self.metrics.held_bytes["answers"] = lambda: self.answers.used
         self.connections = ClientConnections(core.loop, config.socket_budget.clients)
         self.trace_ids = TraceIds()
         self.is_closing = False
@@ -187,7 +192,7 @@
             return 413
         if request.headers.get("Expect", "").lower() not in ("", "100-continue"):
             return 417
-        return None
+        return 503 if self.answers.is_exhausted else None
 
     async def _read_request(self, request: web.BaseRequest, client: ClientConnection) -> ClientRequest:
         decoded = decode_request(self.config, request.method, request.raw_path, request.headers, [])
@@ -235,8 +240,10 @@
         match served:
             case Served(StreamedBody() as body):
                 closes = self._closes_after_response(request, client)
-                return await forward_streamed_body(body, request, closes_connection=closes)
+                return await forward_streamed_body(body, request, self.answers, closes_connection=closes)
             case Served(body):
+                assert not isinstance(body, StreamedBody)
+                client.hold_answer(len(body or b""), self.answers)
                 return web.Response(body=body)
             case Rejected(wait):
                 retry_headers = {"Retry-After": f"{wait:.3f}"} if wait > 0 else None
--- /dev/null
+++ b/cleatyoke/http/streamed_body.py
@@ -0,0 +1,127 @@
+"""The body of a long answer, delivered piece by piece to a receiver that sets the pace."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from cleatyoke.http.messages import MalformedResponseError
+from cleatyoke.transport.sockets import limit_read_size
+
+STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte from the backend after which a streamed body fails
+
+
+class BodyReceiver(Protocol):
+    """Receives a streamed body; the calls are made from the event loop and must not block."""
+
+    def receive_piece(self, piece: bytes) -> None:
+        """Take the next bytes; the receiver pauses the body if it cannot take more."""
+
+    def receive_end(self, error: MalformedResponseError | None) -> None:
+        """Note the end of the body, or why it is truncated; called once."""
+
+
+class StreamedBody:
+    """The body of a long response, read from ``transport`` as its receiver permits.
+
+    Nothing is read before ``start``, and while the body is paused. Beyond the first piece, which came with
+    the head, nothing is buffered here: each piece is passed on as it is received. The owner must close the
+    body. If the backend sends nothing for ``STREAM_IDLE_TIMEOUT`` seconds, the body fails; a body that is not
+    started in that time fails and closes itself, so that its connection is not leaked.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        first_piece: bytes,
+        length: int | None,
+        on_detach: Callable[[], None],
+    ) -> None:
+        self.length = length  # bytes; None if unknown until the end
+        self.on_close: Callable[[bool], None] | None = None  # called with whether the connection is reusable
+        self._transport = transport
+        self._first_piece = first_piece
+        self._on_detach = on_detach  # makes the connection forget this body
+        self._loop = asyncio.get_running_loop()
+        self._receiver: BodyReceiver | None = None
+        self._is_complete = False
+        self._connection_reusable = False
+        self._error: MalformedResponseError | None = None
+        self._has_ended = False  # the receiver knows of the end
+        self._idle_timer = self._loop.call_later(STREAM_IDLE_TIMEOUT, self._time_out)
+        transport.pause_reading()
+
+    def start(self, receiver: BodyReceiver) -> None:
+        """Deliver what has been received, and read on."""
+        self._receiver = receiver
+        self._restart_idle_timer()
+        self._transport.resume_reading()
+        piece = self._first_piece
+        self._first_piece = b""
+        if piece:
+            receiver.receive_piece(piece)
+        self._report_end()
+
+    def pause(self) -> None:
+        """Stop reading from the backend, whose silence then does not count."""
+        self._idle_timer.cancel()
+        self._transport.pause_reading()
+
+    def resume(self, piece_bytes: int) -> None:
+        """Read on, at most ``piece_bytes`` at once."""
+        limit_read_size(self._transport, piece_bytes)
+        self._restart_idle_timer()
+        self._transport.resume_reading()
+
+    def limit_pieces(self, piece_bytes: int) -> None:
+        """Read at most ``piece_bytes`` at once."""
+        limit_read_size(self._transport, piece_bytes)
+
+    def append(self, piece: bytes) -> None:
+        """Deliver bytes that the connection has received."""
+        self._restart_idle_timer()
+        if piece and self._receiver:
+            self._receiver.receive_piece(piece)
+
+    def finish(self, *, connection_reusable: bool) -> None:
+        """Mark the body as complete."""
+        self._is_complete = True
+        self._connection_reusable = connection_reusable
+        self._report_end()
+
+    def fail(self, error: MalformedResponseError) -> None:
+        """Mark the body as failed, unless it is complete; the first error is kept."""
+        if not self._is_complete:
+            self._error = self._error or error
+        self._report_end()
+
+    def close(self) -> None:
+        """Release the connection; ``on_close`` pools it if the body is complete, and aborts it otherwise."""
+        self._idle_timer.cancel()
+        self._has_ended = True
+        self._receiver = None
+        self._on_detach()
+        self._transport.resume_reading()
+        on_close = self.on_close
+        self.on_close = None
+        if on_close:
+            on_close(self._is_complete and self._connection_reusable)
+
+    def _report_end(self) -> None:
+        has_end = self._is_complete or self._error is not None
+        if has_end and self._receiver and not self._has_ended:
+            self._has_ended = True
+            self._idle_timer.cancel()
+            self._receiver.receive_end(self._error)
+
+    def _restart_idle_timer(self) -> None:
+        self._idle_timer.cancel()
+        if not (self._is_complete or self._has_ended):
+            self._idle_timer = self._loop.call_later(STREAM_IDLE_TIMEOUT, self._time_out)
+
+    def _time_out(self) -> None:
+        is_started = self._receiver is not None
+        self.fail(MalformedResponseError("streamed response body idle for too long"))
+        if not is_started:
+            self.close()
--- /dev/null
+++ b/cleatyoke/limits/memory_budget.py
@@ -0,0 +1,71 @@
+"""Divides the memory of a front among everything that its clients can make it hold. No I/O.
+
+The shares are disjoint, so their sum, and with it the memory of the process, is bounded whatever clients do
+at the same time: idle and busy connections, request bodies, streamed answers and file sessions.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+KIBIBYTE = 1024
+MEBIBYTE = 1024 * KIBIBYTE
+
+MAX_UNSTREAMED_BYTES = 64 * KIBIBYTE  # longest body that is sent or read as a whole; longer ones are streamed
+UNRESERVED_BYTES = MAX_UNSTREAMED_BYTES  # of each request body: not part of the share of long bodies
+MAX_UPLOAD_BYTES = 32 * MEBIBYTE + UNRESERVED_BYTES  # longest accepted request body
+
+CLIENT_READ_BYTES = 16 * KIBIBYTE  # most that is read from a client at once
+# The answers of slow clients are forwarded in pieces of this size; each connection has the memory for one.
+MIN_PIECE_BYTES = 16 * KIBIBYTE
+MAX_PIECE_BYTES = 256 * KIBIBYTE  # of an answer whose client keeps up with its backend
+
+_PROCESS_BYTES = 40 * MEBIBYTE  # the interpreter, the modules, the scheduler's and discovery's state
+# Objects of a client's connection, its request and its backend connection (10 KiB), and two reads from its
+# socket or one piece of its answer.
+_CONNECTION_BYTES = 10 * KIBIBYTE + 2 * CLIENT_READ_BYTES
+_ANSWERS_FRACTION = 1 / 8  # of what clients may occupy beyond the connections themselves
+_SHORT_BODIES_FRACTION = 1 / 8
+_FILE_SERVICE_FRACTION = 1 / 5
+_MAX_LONG_BODIES_FRACTION = 0.45  # of the whole memory
+_MIN_LONG_BODIES_BYTES = 4 * MEBIBYTE
+_MIN_SHARE_BYTES = 1 * MEBIBYTE
+_UNLIMITED_SHARE_BYTES = 32 * MEBIBYTE  # of answers and file sessions, if no limit is configured
+
+
+@dataclass(slots=True, frozen=True)
+class MemoryBudget:
+    """The bytes that each use may occupy, all clients together."""
+
+    short_bodies: int  # the first ``UNRESERVED_BYTES`` of each request body
+    long_bodies: int  # what request bodies hold beyond that
+    answers: int  # streamed answers, beyond ``MIN_PIECE_BYTES`` for each connection, and undelivered answers
+    file_sessions: int  # packets, uploads, replies and listings of the file service; 0 if it is off
+
+    @classmethod
+    def divide(cls, memory_mb: float, clients: int, with_file_service: bool) -> MemoryBudget:
+        """Divide ``memory_mb``, the limit of the front, 0 if unknown; ``clients``: connections at most.
+
+        Each share has a least size, without which the front could serve nothing. A limit below the sum of
+        these and of the process itself cannot be kept.
+        """
+        if not memory_mb:
+            return cls(
+                short_bodies=clients * UNRESERVED_BYTES,
+                long_bodies=_MIN_LONG_BODIES_BYTES + MAX_UPLOAD_BYTES,
+                answers=_UNLIMITED_SHARE_BYTES,
+                file_sessions=_UNLIMITED_SHARE_BYTES if with_file_service else 0,
+            )
+        limit = int(memory_mb * MEBIBYTE)
+        available = max(0, limit - _PROCESS_BYTES - clients * _CONNECTION_BYTES)
+        answers = max(_MIN_SHARE_BYTES, int(available * _ANSWERS_FRACTION))
+        short_bodies = max(_MIN_SHARE_BYTES, int(available * _SHORT_BODIES_FRACTION))
+        file_sessions = max(_MIN_SHARE_BYTES, int(available * _FILE_SERVICE_FRACTION))
+        file_sessions = file_sessions if with_file_service else 0
+        rest = available - answers - short_bodies - file_sessions
+        return cls(
+            short_bodies=min(short_bodies, clients * UNRESERVED_BYTES),
+            long_bodies=max(_MIN_LONG_BODIES_BYTES, min(rest, int(limit * _MAX_LONG_BODIES_FRACTION))),
+            answers=answers,
+            file_sessions=file_sessions,
+        )
--- a/cleatyoke/process/metrics.py
+++ b/cleatyoke/process/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import NamedTuple
 
 OUTCOMES = ("success", "busy", "failure")
@@ -35,6 +36,8 @@
         self.reloads_applied = 0
         self.reloads_rejected = 0
         self.faults = 0  # unforeseen exceptions; not shown by ``show-stat``
+        # Bytes that clients make the front hold, by use; not shown by ``show-stat``.
+        self.held_bytes: dict[str, Callable[[], int]] = {}
 
     def count_answer(self, class_name: str, status: int) -> None:
         """Count one answer with this HTTP status."""
--- a/cleatyoke/transport/sockets.py
+++ b/cleatyoke/transport/sockets.py
@@ -12,6 +12,14 @@
     return is_readable(transport.get_extra_info("socket").fileno())
 
 
+def limit_read_size(transport: asyncio.Transport, size: int) -> None:
+    """Let the transport read at most ``size`` bytes at once.
+
+    asyncio's socket transports read 256 KiB, and a protocol that has paused reading may hold all of them.
+    """
+    transport.max_size = size  # type: ignore[attr-defined]  # of asyncio.selector_events._SelectorTransport
+
+
 def is_readable(descriptor: int) -> bool:
     """Whether a read or an accept on the descriptor would not block."""
     poll = select.poll()
--- a/tests/http_case.py
+++ b/tests/http_case.py
@@ -16,11 +16,12 @@
 
 from cleatyoke.core import AttemptResult, Core
 from cleatyoke.discovery.directory import Directory
-from cleatyoke.http.backend_connection import StreamedBody
 from cleatyoke.http.backends import BackendPools
 from cleatyoke.http.client_connection import ClientConnection
+from cleatyoke.http.messages import MalformedResponseError
 from cleatyoke.http.requests import ClientRequest
 from cleatyoke.http.server import HttpServer
+from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.transport.closing import ClosingTransport
 from cleatyoke.transport.sockets import has_unread_bytes
 from tests.scripted_peers import FACTS, ScriptedHttpBackend, answer, config, instance, listed
@@ -53,8 +54,25 @@
     }
 
 
+class PieceQueue:
+    """Receives a streamed body into a queue; the end is an empty piece, or an error."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[bytes | MalformedResponseError] = asyncio.Queue()
+
+    def receive_piece(self, piece: bytes) -> None:
+        self.queue.put_nowait(piece)
+
+    def receive_end(self, error: MalformedResponseError | None) -> None:
+        self.queue.put_nowait(error or b"")
+
+
 async def iterate(body: StreamedBody) -> AsyncIterator[bytes]:
-    while piece := await body.read():
+    pieces = PieceQueue()
+    body.start(pieces)
+    while piece := await pieces.queue.get():
+        if isinstance(piece, MalformedResponseError):
+            raise piece
         yield piece
     body.close()
 
--- a/tests/recorded/bytes_adapter.py
+++ b/tests/recorded/bytes_adapter.py
@@ -52,6 +52,7 @@
 from cleatyoke.config.deployment import Config
 from cleatyoke.config.fronts_file import FleetSettings, SftpSettings, VolumePath
 from cleatyoke.config.socket_budget import SocketBudget
+from cleatyoke.limits.memory_budget import MemoryBudget
 from cleatyoke.core import Core, Failed, Rejected, Served
 from cleatyoke.discovery.directory import Directory, Instance, EndpointList
 from cleatyoke.distribution import contents, records
@@ -845,7 +846,9 @@
         plans={"public": 0},
         client_timeouts=[20.0, 20.0, 20.0],
         changes_data=[False, True, True],
-        body_memory_bytes=36 << 20,
+        memory=MemoryBudget(
+            short_bodies=32 << 20, long_bodies=36 << 20, answers=32 << 20, file_sessions=32 << 20
+        ),
         shard_count=9,
         zones={"basement": 0},
         connect_timeout=EXCHANGE_TIMEOUT,
--- a/tests/recorded/settings_adapter.py
+++ b/tests/recorded/settings_adapter.py
@@ -130,7 +130,7 @@
         "class places": config.classes,
         "plan places": config.plans,
         "deadline of class": [number(seconds) for seconds in config.client_timeouts],
-        "bytes for bodies": config.body_memory_bytes,
+        "bytes for bodies": config.memory.long_bodies,
         "class changes data": config.changes_data,
         "shard count": config.shard_count,
         "zone places": config.zones,
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -13,6 +13,7 @@
 from cleatyoke.config.deployment import Config
 from cleatyoke.config.socket_budget import SocketBudget
 from cleatyoke.discovery.directory import Directory, EndpointList, Instance
+from cleatyoke.limits.memory_budget import MemoryBudget
 from cleatyoke.scheduling.events import EndpointState, EndpointUpdate, UpdateKind
 from cleatyoke.scheduling.settings import Idempotency, SchedulerSettings
 from cleatyoke.sftp import codec
@@ -55,7 +56,9 @@
         plans={"public": 0},
         client_timeouts=[1.5, 1.5],
         changes_data=[False, True],
-        body_memory_bytes=36 << 20,
+        memory=MemoryBudget(
+            short_bodies=32 << 20, long_bodies=36 << 20, answers=32 << 20, file_sessions=32 << 20
+        ),
         shard_count=9,
         zones={"basement": 0},
         connect_timeout=0.25,
--- a/tests/test_http_answers.py
+++ b/tests/test_http_answers.py
@@ -16,8 +16,8 @@
 from cleatyoke.http import backend_connection as backend_connection_module
 from cleatyoke.http import backends as backends_module
 from cleatyoke.http.answers import decode_utilization
-from cleatyoke.http.backend_connection import StreamedBody
 from cleatyoke.http.backends import BackendPools
+from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.scheduling.events import (
     AttemptOutcome,
 )
--- a/tests/test_http_bodies.py
+++ b/tests/test_http_bodies.py
@@ -6,7 +6,8 @@
 import random
 import unittest
 
-from cleatyoke.http.body_limits import MAX_UPLOAD_BYTES, UNRESERVED_BYTES, BodyMemory, body_timeout
+from cleatyoke.http.body_limits import BodyMemory, body_timeout
+from cleatyoke.limits.memory_budget import MAX_UPLOAD_BYTES, UNRESERVED_BYTES
 from tests.http_case import (
     TARGET,
     FrontCase,
