Answer every upload in time: reserve declared bodies whole, and bound the wait for memory

Cause: a body waited for memory without end, and slow uploads took, piece by piece, all that there was and kept it. Change: a declared length is reserved before anything is read and leaves room for shorter bodies. A body waits for half of its client's time at the most, then gets 503; the wait is taken off its deadline unless the front has caught up since. The log says body_memory_exhausted, the exporter has held_bytes{use="bodies"}.

--- a/cleatyoke/http/body_limits.py
+++ b/cleatyoke/http/body_limits.py
@@ -1,8 +1,8 @@
 """Limits on the memory and the time that request bodies may take. No I/O, no clock.
 
-A request's body is kept until its response, so that an attempt that never ran can be retried. A request's
-time limit counts from its last byte (protocol page, Figures), so pausing reads from a client does not shorten
-it. If memory is short, bodies wait for each other instead of being rejected.
+A request's body is kept until its response, so that an attempt that never ran can be retried. If memory is
+short, bodies wait for each other, for a limited time (``cleatyoke.http.body_reader``): a request's own time
+limit counts from its last byte, which may have been written long before the front reads it.
 """
 
 from __future__ import annotations
@@ -23,15 +23,30 @@
 class BodyMemory:
     """Memory budget of ``total`` bytes that request bodies share.
 
-    Each body reserves incrementally what it holds beyond ``UNRESERVED_BYTES``. Without the total, concurrent
+    Each body reserves what it holds beyond ``UNRESERVED_BYTES``: incrementally, or at once if its length is
+    declared. The first ``UNRESERVED_BYTES`` of all bodies have ``short_total`` bytes of their own, unlimited
+    if None; once these are used up, bodies reserve all they hold. Without the total, concurrent
     large uploads would exhaust the process's memory. With a total alone, partly read bodies could deadlock:
     each holds memory and waits for more until all time out. Therefore ``max_body`` bytes are set aside for
     the longest waiting body, which can always complete; then the next one takes its place.
+
+    A body whose length is declared cannot deadlock, so these need nothing set aside. They must leave as much
+    free as they take, at most ``headroom`` bytes, so that long bodies do not keep shorter ones waiting.
     """
 
-    def __init__(self, total: int, max_body: int = MAX_UPLOAD_BYTES) -> None:
+    def __init__(
+        self,
+        total: int,
+        max_body: int = MAX_UPLOAD_BYTES,
+        short_total: int | None = None,
+        headroom: int = 0,
+    ) -> None:
         self.total = total
         self.max_body = min(max_body, total)
+        self.headroom = headroom
+        self._short_total = short_total
+        self._short_parts: dict[Hashable, int] = {}
+        self._short_used = 0
         self.reserved: dict[Hashable, int] = {}
         self.waiting: dict[Hashable, None] = {}  # in waiting order; the first one has priority
 
@@ -40,20 +55,53 @@
 
         A body beyond ``max_body`` is never granted memory; the caller's timeout ends it.
         """
-        extra = max(0, size - UNRESERVED_BYTES)
+        short_part = self._short_part(body, size)
+        extra = size - short_part
         if extra <= self.reserved.get(body, 0):
+            self._reserve_short_part(body, short_part)
             return True
         if extra > self.max_body:
             return False  # never granted, so it must not hold up the others
         first = next(iter(self.waiting), None)
         if self._reserved_by_others(body, first) + extra <= self._limit(is_first=first == body):
-            self.reserved[body] = extra
+            self._grant(body, short_part, extra)
             return True
         self.waiting.setdefault(body)
         if first is None:  # no body was waiting: this one becomes the first
             return self.reserve(body, size)
         return False
 
+    def reserve_whole(self, body: Hashable, size: int) -> bool:
+        """Reserve memory for a body that has not been read yet; False if the caller has to retry later."""
+        short_part = self._short_part(body, size)
+        extra = size - short_part
+        set_aside = self.max_body if self.waiting else 0
+        others = sum(self.reserved.values())
+        if extra and others + extra + min(extra, self.headroom) > self.total - set_aside:
+            return False
+        self._grant(body, short_part, extra)
+        return True
+
+    def held_bytes(self) -> int:
+        """Return the bytes that are reserved."""
+        return self._short_used + sum(self.reserved.values())
+
+    def _short_part(self, body: Hashable, size: int) -> int:
+        """Return how much of the body does not count towards ``total``."""
+        part = min(size, UNRESERVED_BYTES)
+        if self._short_total is None:
+            return part
+        own = self._short_parts.get(body, 0)
+        return max(own, min(part, own + self._short_total - self._short_used))
+
+    def _reserve_short_part(self, body: Hashable, size: int) -> None:
+        self._short_used += size - self._short_parts.get(body, 0)
+        self._short_parts[body] = size
+
+    def _grant(self, body: Hashable, short_part: int, extra: int) -> None:
+        self.reserved[body] = extra
+        self._reserve_short_part(body, short_part)
+
     def _limit(self, *, is_first: bool) -> int:
         return self.total if is_first else self.total - self.max_body
 
@@ -66,5 +114,6 @@
 
     def release(self, body: Hashable) -> None:
         """Free the memory of a body whose request is answered or whose client has disconnected."""
+        self._short_used -= self._short_parts.pop(body, 0)
         self.reserved.pop(body, None)
         self.waiting.pop(body, None)
--- a/cleatyoke/http/body_reader.py
+++ b/cleatyoke/http/body_reader.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
+from dataclasses import dataclass
+from functools import partial
+from typing import Protocol
 
 from aiohttp import StreamReader
 
@@ -12,42 +15,108 @@
 BODY_TIMEOUT = BODY_GRACE  # seconds for a short body to arrive
 READ_DELAY = 0.001  # seconds until received bytes are read: the loop reads sockets before it runs timers
 MEMORY_POLL_INTERVAL = 0.02  # seconds between attempts to reserve memory
+MAX_LAG_FRACTION = 0.5  # of the time that the client waits: a later rejection leaves it no time to retry
+CATCH_UP_TIME = 0.05  # seconds without unread bytes, after which a client has written nothing more: the
+# tolerance that the protocol page gives every time limit
 
 
 class BodyTooLongError(Exception):
     """A body exceeds the longest accepted one."""
 
 
-async def read_body(content: StreamReader, memory: BodyMemory, owner: Hashable) -> list[bytes]:
-    """Return the body in pieces as received, with their memory reserved for ``owner``.
+class BodyMemoryError(Exception):
+    """No memory became free for a body in time; nothing of its request was forwarded."""
 
-    Raises ``TimeoutError`` if the body arrives too slowly (see ``body_timeout``) and ``BodyTooLongError``.
-    While memory is short, nothing more is read: TCP flow control stops the client, and the time spent waiting
-    does not count against it.
+
+class BodySender(Hashable, Protocol):
+    """The connection that a body arrives on."""
+
+    def has_unread(self) -> bool:
+        """Whether the kernel holds bytes that the event loop has not read."""
+
+    def abort_if_client_gone(self) -> bool:
+        """Abort the connection if its client has closed it; return whether so."""
+
+
+@dataclass(slots=True, frozen=True)
+class ReceivedBody:
+    """A complete body.
+
+    ``lag``: seconds by which its last byte may have been written before the front read it, because reading
+    had to wait for memory.
+    """
+
+    pieces: list[bytes]
+    lag: float
+
+
+class BodyReader:
+    """Reads one body; its memory is reserved for ``sender``, which has to release it.
+
+    While memory is short, nothing is read: TCP flow control stops the client, and the time does not count
+    towards the timeout of the body. The last byte may have been written meanwhile, so the front may wait at
+    most a part of ``max_wait``, the seconds that the client waits for its response.
     """
-    pieces: list[bytes] = []
-    size = 0
-    began = asyncio.get_running_loop().time()
-    waited = 0.0
-    extension_used = False
-    while True:
-        limit = began + waited + body_timeout(size, BODY_TIMEOUT)
+
+    def __init__(
+        self, content: StreamReader, memory: BodyMemory, sender: BodySender, max_wait: float
+    ) -> None:
+        self._content = content
+        self._memory = memory
+        self._sender = sender
+        self._max_lag = max_wait * MAX_LAG_FRACTION
+        self._loop = asyncio.get_running_loop()
+        self._began = self._loop.time()
+        self._waited = 0.0  # seconds without reading, for lack of memory
+        self._lag = 0.0  # the same, since the front last knew that there was nothing to read
+        self._extension_used = False
+
+    async def read(self, declared_size: int | None) -> ReceivedBody:
+        """Return the whole body; ``declared_size`` is its length, None if it is not known.
+
+        A declared length is reserved before anything is read, so that bodies do not hold memory which is of
+        no use before others release theirs. Raises ``TimeoutError`` if the body arrives too slowly (see
+        ``body_timeout``), ``BodyTooLongError`` and ``BodyMemoryError``.
+        """
+        if declared_size is not None:
+            await self._wait_for(partial(self._memory.reserve_whole, self._sender, declared_size))
+        pieces: list[bytes] = []
+        size = 0
+        while piece := await self._read_piece(size):
+            size += len(piece)
+            if size > self._memory.max_body:
+                raise BodyTooLongError
+            pieces.append(piece)
+            if declared_size is None:
+                await self._wait_for(partial(self._memory.reserve, self._sender, size))
+        return ReceivedBody(pieces, self._lag)
+
+    async def _read_piece(self, size: int) -> bytes:
+        """Return the next piece, empty at the end; ``size``: bytes received before."""
+        has_caught_up = not (self._content.total_bytes > size or self._sender.has_unread())
+        asked_at = self._loop.time()
         try:
-            async with asyncio.timeout_at(limit):
-                piece = await content.readany()
+            async with asyncio.timeout_at(self._began + self._waited + body_timeout(size, BODY_TIMEOUT)):
+                piece = await self._content.readany()
         except TimeoutError:
             # Bytes received in the same loop iteration as the timeout, or still unread, extend it once.
             await asyncio.sleep(READ_DELAY)
-            piece = content.read_nowait()
-            if extension_used or not (piece or content.is_eof()):
+            piece = self._content.read_nowait()
+            if self._extension_used or not (piece or self._content.is_eof()):
                 raise
-            extension_used = True
-        if not piece:
-            return pieces
-        size += len(piece)
-        if size > memory.max_body:
-            raise BodyTooLongError
-        pieces.append(piece)
-        while not memory.reserve(owner, size):
+            self._extension_used = True
+        if has_caught_up and self._loop.time() - asked_at > CATCH_UP_TIME:
+            self._lag = 0.0
+        return piece
+
+    async def _wait_for(self, reserve: Callable[[], bool]) -> None:
+        """Wait until ``reserve`` succeeds."""
+        while not reserve():
+            if self._lag >= self._max_lag:
+                raise BodyMemoryError
+            before = self._loop.time()
             await asyncio.sleep(MEMORY_POLL_INTERVAL)
-            waited += MEMORY_POLL_INTERVAL
+            self._sender.abort_if_client_gone()
+            seconds = self._loop.time() - before
+            self._waited += seconds
+            self._lag += seconds
--- a/cleatyoke/http/client_connection.py
+++ b/cleatyoke/http/client_connection.py
@@ -227,7 +227,7 @@
         remaining = 0.0
         if self.head_started_at is not None:
             remaining = self.head_started_at + HEAD_TIMEOUT - self._loop.time()
-        if remaining <= 0 and not self._idle_extension_used and self._has_unread():
+        if remaining <= 0 and not self._idle_extension_used and self.has_unread():
             self._idle_extension_used = True
             remaining = READ_DELAY
         if remaining > 0:
@@ -235,7 +235,8 @@
         else:
             super()._process_keepalive()
 
-    def _has_unread(self) -> bool:
+    def has_unread(self) -> bool:
+        """Whether the kernel holds bytes that the event loop has not read."""
         return self.transport is not None and has_unread_bytes(self.transport)
 
     def handle_error(
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -22,7 +22,7 @@
 from cleatyoke.core import ATTEMPT_MARGIN, AttemptResult, Core, Failed, MayBegin, Rejected, Served
 from cleatyoke.http.backends import BackendPools
 from cleatyoke.http.body_limits import BodyMemory
-from cleatyoke.http.body_reader import BodyTooLongError, read_body
+from cleatyoke.http.body_reader import BodyMemoryError, BodyReader, BodyTooLongError
 from cleatyoke.http.client_connection import ClientConnection
 from cleatyoke.http.client_connections import ClientConnections
 from cleatyoke.http.messages import Header, IdempotencyKeyError, MessageError
@@ -42,6 +42,14 @@
 METHODS = ("GET", "PUT")
 IDLE_CHECK_INTERVAL = 0.05  # seconds between checks for idle connections during a drain or a shutdown
 CLOSE_POLL_INTERVAL = 0.02  # seconds between checks whether the last response has been read
+MEMORY_LOG_INTERVAL = 1.0  # seconds between log lines on bodies that were rejected for lack of memory
+_UNACCEPTABLE_REQUEST = (
+    TimeoutError,
+    BodyTooLongError,
+    BodyMemoryError,
+    web.RequestPayloadError,
+    MessageError,
+)
 log = structlog.get_logger()
 
 
@@ -66,15 +74,20 @@
         self.is_ready = is_ready
         self.drain = drain or FrontDrain()
         self.metrics = backends.metrics
-        self.body_memory = BodyMemory(config.memory.long_bodies)
+        memory = config.memory
+        self.body_memory = BodyMemory(
+            memory.long_bodies, memory.max_upload, memory.short_bodies, memory.upload_headroom
+        )
         self.answers = MemoryPool(config.memory.answers)
         backends.answers = self.answers  # its connections and the server hold parts of the same answers
         self.metrics.held_bytes["answers"] = lambda: self.answers.used
+        self.metrics.held_bytes["bodies"] = lambda: self.body_memory.held_bytes()
         self.connections = ClientConnections(core.loop, config.socket_budget.clients)
         self.trace_ids = TraceIds()
         self.is_closing = False
         self.listener: Listener | None = None
         self.address = config.listen
+        self._memory_logged_at = -MEMORY_LOG_INTERVAL  # loop time
         self._responses_due_at: float | None = None  # Unix time, during a shutdown
         self._idle_check_timer: asyncio.TimerHandle | None = None
         self._manager = web.Server(
@@ -166,7 +179,9 @@
             return web.Response(status=rejection)
         try:
             decoded = await self._read_request(request, client)
-        except (TimeoutError, BodyTooLongError, web.RequestPayloadError, MessageError) as error:
+        except _UNACCEPTABLE_REQUEST as error:
+            if isinstance(error, BodyMemoryError):
+                self._log_lack_of_memory()
             return _error_response(error)
         if client.has_pipelined_messages():
             return web.Response(status=400, text="one request at a time\n")
@@ -200,7 +215,10 @@
             if request.headers.get("Expect"):  # RFC 9110, section 10.1.1
                 await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 request.writer.output_size = 0  # it is not part of the final response
-            decoded.body = await read_body(request.content, self.body_memory, client)
+            reader = BodyReader(request.content, self.body_memory, client, decoded.max_wait)
+            body = await reader.read(request.content_length)
+            decoded.body = body.pieces
+            decoded.max_wait -= body.lag  # the client may have written its last byte that long ago
         if decoded.body and decoded.method == "GET":
             msg = "Content-Length: a read has no body"
             raise MessageError(msg)
@@ -237,6 +255,8 @@
             return response
         finally:
             client.response_timeout = None
+        decoded.body = []  # not needed any more, while a slow client may take long for its answer
+        self.body_memory.release(client)
         match served:
             case Served(StreamedBody() as body):
                 closes = self._closes_after_response(request, client)
@@ -251,6 +271,15 @@
             case Failed():
                 return web.Response(status=502)
 
+    def _log_lack_of_memory(self) -> None:
+        """Log that a body got no memory, at most once in ``MEMORY_LOG_INTERVAL``."""
+        now = self.core.loop.time()
+        if now - self._memory_logged_at < MEMORY_LOG_INTERVAL:
+            return
+        self._memory_logged_at = now
+        held, waiting = self.body_memory.held_bytes(), len(self.body_memory.waiting)
+        log.warning("body_memory_exhausted", held=held, waiting=waiting)
+
     # Drain and shutdown.
 
     def begin_drain(self) -> None:
@@ -302,6 +331,8 @@
         return web.Response(status=408)
     if isinstance(error, BodyTooLongError):
         return web.Response(status=413)
+    if isinstance(error, BodyMemoryError):
+        return web.Response(status=503)
     if isinstance(error, web.RequestPayloadError):
         return web.Response(status=400, text="unreadable body\n")
     if isinstance(error, IdempotencyKeyError):
--- a/cleatyoke/limits/memory_budget.py
+++ b/cleatyoke/limits/memory_budget.py
@@ -29,6 +29,7 @@
 _FILE_SERVICE_FRACTION = 1 / 5
 _MAX_LONG_BODIES_FRACTION = 0.45  # of the whole memory
 _MIN_LONG_BODIES_BYTES = 4 * MEBIBYTE
+_HEADROOM_DIVISOR = 4  # of their memory, long bodies leave this part to shorter ones
 _MIN_SHARE_BYTES = 1 * MEBIBYTE
 _UNLIMITED_SHARE_BYTES = 32 * MEBIBYTE  # of answers and file sessions, if no limit is configured
 
@@ -39,6 +40,8 @@
 
     short_bodies: int  # the first ``UNRESERVED_BYTES`` of each request body
     long_bodies: int  # what request bodies hold beyond that
+    max_upload: int  # longest accepted request body
+    upload_headroom: int  # of ``long_bodies``: what long bodies leave to shorter ones
     answers: int  # streamed answers, beyond ``MIN_PIECE_BYTES`` for each connection, and undelivered answers
     file_sessions: int  # packets, uploads, replies and listings of the file service; 0 if it is off
 
@@ -53,6 +56,8 @@
             return cls(
                 short_bodies=clients * UNRESERVED_BYTES,
                 long_bodies=_MIN_LONG_BODIES_BYTES + MAX_UPLOAD_BYTES,
+                max_upload=MAX_UPLOAD_BYTES,
+                upload_headroom=_MIN_SHARE_BYTES,
                 answers=_UNLIMITED_SHARE_BYTES,
                 file_sessions=_UNLIMITED_SHARE_BYTES if with_file_service else 0,
             )
@@ -63,9 +68,13 @@
         file_sessions = max(_MIN_SHARE_BYTES, int(available * _FILE_SERVICE_FRACTION))
         file_sessions = file_sessions if with_file_service else 0
         rest = available - answers - short_bodies - file_sessions
+        long_bodies = max(_MIN_LONG_BODIES_BYTES, min(rest, int(limit * _MAX_LONG_BODIES_FRACTION)))
+        max_upload = min(MAX_UPLOAD_BYTES, long_bodies - _MIN_SHARE_BYTES)
         return cls(
             short_bodies=min(short_bodies, clients * UNRESERVED_BYTES),
-            long_bodies=max(_MIN_LONG_BODIES_BYTES, min(rest, int(limit * _MAX_LONG_BODIES_FRACTION))),
+            long_bodies=long_bodies,
+            max_upload=max_upload,
+            upload_headroom=min(long_bodies // _HEADROOM_DIVISOR, long_bodies - max_upload),
             answers=answers,
             file_sessions=file_sessions,
         )
--- a/tests/recorded/bytes_adapter.py
+++ b/tests/recorded/bytes_adapter.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import contextlib
 import io
 import json
@@ -846,9 +847,7 @@
         plans={"public": 0},
         client_timeouts=[20.0, 20.0, 20.0],
         changes_data=[False, True, True],
-        memory=MemoryBudget(
-            short_bodies=32 << 20, long_bodies=36 << 20, answers=32 << 20, file_sessions=32 << 20
-        ),
+        memory=dataclasses.replace(MemoryBudget.divide(0.0, 484, True), long_bodies=36 << 20),
         shard_count=9,
         zones={"basement": 0},
         connect_timeout=EXCHANGE_TIMEOUT,
--- a/tests/test_http_bodies.py
+++ b/tests/test_http_bodies.py
@@ -49,6 +49,18 @@
         memory.release("huge")
         assert memory.reserve("next", MEGABYTE)
 
+    def test_declared_bodies_use_all_memory_but_leave_room_for_shorter_ones(self) -> None:
+        memory = BodyMemory(8 * MEGABYTE, 5 * MEGABYTE, MEGABYTE, headroom=2 * MEGABYTE)
+        assert memory.reserve_whole("longest", 5 * MEGABYTE)
+        assert not memory.reserve_whole("long", 2 * MEGABYTE)
+        assert memory.reserve_whole("medium", MEGABYTE)
+        usual = [memory.reserve_whole(number, 128 * 1024) for number in range(40)]
+        assert sum(usual) >= 12
+        assert memory.held_bytes() <= 9 * MEGABYTE
+        for body in ("longest", "medium", *range(40)):
+            memory.release(body)
+        assert [memory.reserve_whole(n, MEGABYTE) for n in range(9)] == [True] * 7 + [False] * 2
+
     def test_body_timeout_admits_slowest_client_and_ends_stalled_one(self) -> None:
         for size in (1, 64_000, 640_000, MAX_UPLOAD_BYTES):
             assert 2.0 + size / 64000 < body_timeout(size)  # 64 kB a second, after a stall of 2 s
@@ -123,6 +135,46 @@
         assert max_reserved > MEGABYTE
         assert (reserved, self.front.body_memory.waiting) == ({}, {})
 
+    async def hold_memory(self, number: int, size: int) -> asyncio.StreamWriter:
+        """Begin an upload of ``size`` bytes, of which only a part is sent."""
+        head = self.request_head(f"slow{number}", f"Content-Length: {size}", method="PUT")
+        _, writer = await self.connect(head.replace(b"tile-read", b"record-write"), bytes(size * 45 // 100))
+        return writer
+
+    async def test_usual_writes_are_served_beside_uploads_that_exceed_memory(self) -> None:
+        """Uploads that never end hold all the memory that they can get.
+
+        Usual writes would wait for it without an answer, although their last byte has been written.
+        """
+        await self.start_answering_front()
+        self.front.body_memory = BodyMemory(3 * MEGABYTE, 2 * MEGABYTE, headroom=MEGABYTE // 4)
+        slow = [await self.hold_memory(number, 2 * MEGABYTE) for number in range(8)]
+        body = bytes(128 * 1024)
+        async with asyncio.timeout(2.0):  # 1.5 s that each may wait, and the half second that is not lost yet
+            statuses = await asyncio.gather(
+                *(self.upload(f"w{n}", body, f"Content-Length: {len(body)}") for n in range(4))
+            )
+        assert [status[9:12] for status in statuses] == [b"200"] * 4
+        for writer in slow:
+            writer.close()
+
+    async def test_upload_without_memory_is_rejected_before_its_deadline(self) -> None:
+        """An upload was written to its last byte, and the memory for it does not become free.
+
+        Its time limit counts from that byte, so it must get a final answer instead of waiting.
+        """
+        await self.start_answering_front()
+        self.front.body_memory = BodyMemory(3 * MEGABYTE, 2 * MEGABYTE)
+        slow = [await self.hold_memory(number, 2 * MEGABYTE) for number in range(4)]
+        await asyncio.sleep(0.1)
+        for framing in (f"Content-Length: {2 * MEGABYTE}", "Transfer-Encoding: chunked"):
+            async with asyncio.timeout(2.0):
+                status = await self.upload(f"t{len(framing)}", bytes(2 * MEGABYTE), framing)
+            assert status[9:12] == b"503", framing
+        assert not any(trace.startswith("t") for trace in self.backend.counts)
+        for writer in slow:
+            writer.close()
+
     async def test_absolute_form_target_is_accepted_and_unknown_expectation_rejected(self) -> None:
         await self.start_answering_front()
         reader, writer = await self.connect(self.request_head("t", target="http://anywhere:80" + TARGET))
