Bound what file sessions hold: uploads, listings, handles and waiting commands share memory

Nothing bounded the sum. Change: the sessions have a share of the budget. A handle, an upload's data and a listing are reserved there, and rejected with a status if there is no memory; a command behind another one is read once there is. The replies to an upload's WRITEs are not collected, and streams buffer 32 KiB. The file front's connections and the command in hand are in the budget as well.

--- a/cleatyoke/config/deployment.py
+++ b/cleatyoke/config/deployment.py
@@ -227,7 +227,7 @@
         classes=class_and_plan_indexes.classes,
         plans=class_and_plan_indexes.plans,
         client_timeouts=front_settings.client_timeouts,
-        memory=MemoryBudget.divide(memory_mb, socket_budget.clients, fronts.sftp is not None),
+        memory=MemoryBudget.divide(memory_mb, socket_budget.clients, socket_budget.file_sessions),
         changes_data=front_settings.changes_data,
         shard_count=front_settings.shard_count,
         zones=front_settings.zones,
--- a/cleatyoke/http/backends.py
+++ b/cleatyoke/http/backends.py
@@ -62,7 +62,7 @@
         self.max_connections = max_connections
         self.metrics = metrics or Metrics()
         # The memory that answers share; the server sets its own.
-        self.answers = MemoryPool(MemoryBudget.divide(0.0, max_connections, False).answers)
+        self.answers = MemoryPool(MemoryBudget.divide(0.0, max_connections, 0).answers)
         self.idle_timeout = idle_close * IDLE_FRACTION
         self.pools: dict[int, ConnectionPool] = {}
         self.open_connections = 0
--- a/cleatyoke/limits/memory_budget.py
+++ b/cleatyoke/limits/memory_budget.py
@@ -24,9 +24,12 @@
 # Objects of a client's connection, its request and its backend connection (10 KiB), and two reads from its
 # socket or one piece of its answer.
 _CONNECTION_BYTES = 10 * KIBIBYTE + 2 * CLIENT_READ_BYTES
+# Of a session of the file service: the command in hand and the next one (66 KiB each, and decoded), its
+# reply, and what the client's and the backend's connections buffer.
+_FILE_SESSION_BYTES = 512 * KIBIBYTE
 _ANSWERS_FRACTION = 1 / 8  # of what clients may occupy beyond the connections themselves
 _SHORT_BODIES_FRACTION = 1 / 8
-_FILE_SERVICE_FRACTION = 1 / 5
+_FILES_FRACTION = 1 / 5
 _MAX_LONG_BODIES_FRACTION = 0.45  # of the whole memory
 _MIN_LONG_BODIES_BYTES = 4 * MEBIBYTE
 _HEADROOM_DIVISOR = 4  # of their memory, long bodies leave this part to shorter ones
@@ -43,11 +46,14 @@
     max_upload: int  # longest accepted request body
     upload_headroom: int  # of ``long_bodies``: what long bodies leave to shorter ones
     answers: int  # streamed answers, beyond ``MIN_PIECE_BYTES`` for each connection, and undelivered answers
-    file_sessions: int  # packets, uploads, replies and listings of the file service; 0 if it is off
+    files: int  # handles, uploads, listings and waiting commands of the file service; 0 if it is off
 
     @classmethod
-    def divide(cls, memory_mb: float, clients: int, with_file_service: bool) -> MemoryBudget:
-        """Divide ``memory_mb``, the limit of the front, 0 if unknown; ``clients``: connections at most.
+    def divide(cls, memory_mb: float, clients: int, file_sessions: int) -> MemoryBudget:
+        """Divide ``memory_mb``, the limit of the front, 0 if unknown.
+
+        ``clients`` and ``file_sessions``: how many connections the servers accept; no sessions: no file
+        service.
 
         Each share has a least size, without which the front could serve nothing. A limit below the sum of
         these and of the process itself cannot be kept.
@@ -59,15 +65,15 @@
                 max_upload=MAX_UPLOAD_BYTES,
                 upload_headroom=_MIN_SHARE_BYTES,
                 answers=_UNLIMITED_SHARE_BYTES,
-                file_sessions=_UNLIMITED_SHARE_BYTES if with_file_service else 0,
+                files=_UNLIMITED_SHARE_BYTES if file_sessions else 0,
             )
         limit = int(memory_mb * MEBIBYTE)
-        available = max(0, limit - _PROCESS_BYTES - clients * _CONNECTION_BYTES)
+        connections = clients * _CONNECTION_BYTES + file_sessions * _FILE_SESSION_BYTES
+        available = max(0, limit - _PROCESS_BYTES - connections)
         answers = max(_MIN_SHARE_BYTES, int(available * _ANSWERS_FRACTION))
         short_bodies = max(_MIN_SHARE_BYTES, int(available * _SHORT_BODIES_FRACTION))
-        file_sessions = max(_MIN_SHARE_BYTES, int(available * _FILE_SERVICE_FRACTION))
-        file_sessions = file_sessions if with_file_service else 0
-        rest = available - answers - short_bodies - file_sessions
+        files = max(_MIN_SHARE_BYTES, int(available * _FILES_FRACTION)) if file_sessions else 0
+        rest = available - answers - short_bodies - files
         long_bodies = max(_MIN_LONG_BODIES_BYTES, min(rest, int(limit * _MAX_LONG_BODIES_FRACTION)))
         max_upload = min(MAX_UPLOAD_BYTES, long_bodies - _MIN_SHARE_BYTES)
         return cls(
@@ -76,5 +82,5 @@
             max_upload=max_upload,
             upload_headroom=min(long_bodies // _HEADROOM_DIVISOR, long_bodies - max_upload),
             answers=answers,
-            file_sessions=file_sessions,
+            files=files,
         )
--- a/cleatyoke/process/file_service.py
+++ b/cleatyoke/process/file_service.py
@@ -7,6 +7,7 @@
 from cleatyoke.config.deployment import Config
 from cleatyoke.core import Core
 from cleatyoke.discovery.directory import Directory
+from cleatyoke.limits.memory_pool import MemoryPool
 
 if TYPE_CHECKING:
     from cleatyoke.sftp.server import SftpServer
@@ -35,7 +36,7 @@
         backends = SftpBackends(
             directory, settings.backend_port, config.connect_timeout, config.idle_timeout, sessions
         )
-        server = SftpServer(settings, core, backends, sessions)
+        server = SftpServer(settings, core, backends, sessions, MemoryPool(config.memory.files))
         if config.vrrp is None:
             await server.open()
             return cls(server)
--- a/cleatyoke/sftp/backend_commands.py
+++ b/cleatyoke/sftp/backend_commands.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass, replace
 
+from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.sftp.codec import decode, encode, read_packet
 from cleatyoke.sftp.packets import (
     Attrs,
@@ -28,6 +29,7 @@
 )
 
 MAX_LISTED_NAMES = 20_000  # entries of a listing
+NAME_BYTES = 400  # of an entry's objects, beside its two names
 MAX_WRITE_BYTES = 32 * 1024  # data of a WRITE: what every server must accept (draft, section 3)
 
 
@@ -42,9 +44,10 @@
 
 @dataclass(slots=True)
 class ListDirectory:
-    """Read all entries of a directory."""
+    """Read all entries of a directory; ``memory``: where an attempt takes the memory for them."""
 
     path: str
+    memory: MemoryPool
 
 
 @dataclass(slots=True)
@@ -73,6 +76,11 @@
     return isinstance(command, Upload) or (isinstance(command, SinglePacket) and command.is_write)
 
 
+def listing_bytes(names: list[Name]) -> int:
+    """Return the memory that entries of a listing occupy, in bytes."""
+    return sum(NAME_BYTES + len(name.filename) + len(name.longname) for name in names)
+
+
 class SftpConnection:
     """A connection to a backend; runs one command at a time."""
 
@@ -142,11 +150,16 @@
     if not isinstance(open_reply, Handle):
         return open_reply
     names: list[Name] = []
-    while isinstance(reply := await connection.request(Readdir(0, open_reply.handle)), Names) and reply.names:
-        names += reply.names
-        if len(names) > MAX_LISTED_NAMES:
-            msg = "directory listing has too many entries"
-            raise PacketError(msg)
+    reserved = 0
+    try:
+        while True:
+            reply = await connection.request(Readdir(0, open_reply.handle))
+            if not isinstance(reply, Names) or not reply.names:
+                break
+            reserved += _reserve_names(reply.names, len(names), command.memory)
+            names += reply.names
+    finally:
+        command.memory.release(reserved)  # from now on the client's handle accounts for the listing
     await connection.request(Close(0, open_reply.handle))
     is_complete = isinstance(reply, Names) or (
         isinstance(reply, Status) and reply.code == StatusCode.SSH_FX_EOF
@@ -154,6 +167,18 @@
     return Names(0, names) if is_complete else reply
 
 
+def _reserve_names(names: list[Name], listed: int, memory: MemoryPool) -> int:
+    """Reserve memory for further entries after ``listed`` ones, and return it; raises ``PacketError``."""
+    if listed + len(names) > MAX_LISTED_NAMES:
+        msg = "directory listing has too many entries"
+        raise PacketError(msg)
+    size = listing_bytes(names)
+    if not memory.reserve(size):
+        msg = "no memory for the directory listing"
+        raise PacketError(msg)
+    return size
+
+
 async def _upload(connection: SftpConnection, command: Upload) -> Packet:
     """Send all WRITEs and CLOSE before awaiting their replies; return the first error, or CLOSE's status."""
     open_reply = await connection.request(Open(0, command.path, command.flags, command.attrs))
@@ -166,8 +191,9 @@
             await connection.send(Write(0, open_reply.handle, offset + start, chunk))
     await connection.send(Close(0, open_reply.handle))
     request_ids = range(first_request_id, connection.last_request_id + 1)
-    replies = [await connection.receive(request_id) for request_id in request_ids]
-    for reply in replies:
-        if not isinstance(reply, Status) or reply.code != StatusCode.SSH_FX_OK:
-            return reply
-    return replies[-1]
+    first_error: Packet | None = None
+    for request_id in request_ids:
+        reply = await connection.receive(request_id)
+        if first_error is None and not (isinstance(reply, Status) and reply.code == StatusCode.SSH_FX_OK):
+            first_error = reply
+    return first_error or reply
--- a/cleatyoke/sftp/backends.py
+++ b/cleatyoke/sftp/backends.py
@@ -9,7 +9,9 @@
 from cleatyoke.discovery.directory import Directory
 from cleatyoke.scheduling.events import AttemptOutcome
 from cleatyoke.sftp.backend_commands import Command, SftpConnection, is_write, run_command
+from cleatyoke.sftp.codec import STREAM_BUFFER_BYTES
 from cleatyoke.sftp.packets import VERSION, Init, Packet, PacketError, Status, StatusCode, Version
+from cleatyoke.transport.sockets import limit_read_size
 
 MAX_IDLE_PER_BACKEND = 4  # idle connections kept open to one backend
 IDLE_FRACTION = 0.5  # of the backends' idle timeout, after which an idle connection is not reused
@@ -111,7 +113,9 @@
         writer = None
         try:
             async with asyncio.timeout(self.connect_timeout):
-                reader, writer = await asyncio.open_connection(host, port)
+                reader, writer = await asyncio.open_connection(host, port, limit=STREAM_BUFFER_BYTES)
+                assert isinstance(writer.transport, asyncio.Transport)
+                limit_read_size(writer.transport, STREAM_BUFFER_BYTES)
                 connection = SftpConnection(reader, writer)
                 await _exchange_versions(connection)
                 return connection
--- a/cleatyoke/sftp/client_commands.py
+++ b/cleatyoke/sftp/client_commands.py
@@ -7,8 +7,9 @@
 from typing import Any, Protocol
 
 from cleatyoke.config.fronts_file import SftpSettings
+from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.sftp.backend_commands import Command, ListDirectory, ReadRange, SinglePacket, Upload
-from cleatyoke.sftp.handles import DirectoryHandle, HandleTable, ReadHandle, WriteHandle
+from cleatyoke.sftp.handles import PIECE_BYTES, DirectoryHandle, HandleTable, ReadHandle, WriteHandle
 from cleatyoke.sftp.packets import (
     Attrs,
     AttrsReply,
@@ -51,6 +52,7 @@
 
     config: SftpSettings
     volumes: VolumePaths
+    memory: MemoryPool
 
     async def schedule(self, path: str, item: str, size: int, command: Command) -> Packet:
         """Run a command at a backend, or raise ``CommandRejectedError``."""
@@ -125,6 +127,9 @@
         if upload.size + len(packet.data) > max_size:
             upload.is_incomplete = True
             raise CommandRejectedError(StatusCode.SSH_FX_FAILURE, f"an upload holds at most {max_size} bytes")
+        if not self._handles.hold(upload, PIECE_BYTES + len(packet.data)):
+            upload.is_incomplete = True
+            raise CommandRejectedError(StatusCode.SSH_FX_FAILURE, "too much memory is in use, not stored")
         upload.append(packet.offset, packet.data)
         return _ok()
 
@@ -133,8 +138,12 @@
         closed = self._handles.close(packet.handle)
         if closed is None:
             return Status(0, StatusCode.SSH_FX_FAILURE, "unknown handle")
-        if not isinstance(closed, WriteHandle):
-            return _ok()
+        try:
+            return await self._store(closed) if isinstance(closed, WriteHandle) else _ok()
+        finally:
+            self._handles.release(closed)
+
+    async def _store(self, closed: WriteHandle) -> Packet:
         if closed.is_incomplete:
             raise CommandRejectedError(
                 StatusCode.SSH_FX_FAILURE, "not stored: a write to this handle was turned down"
@@ -150,7 +159,7 @@
             return self._handles.open(DirectoryHandle(path, entries))
         if self._front.count_listed_names() > MAX_LISTED_NAMES:
             raise CommandRejectedError(StatusCode.SSH_FX_FAILURE, "too many listings are open")
-        reply = await self._front.schedule(path, path, 0, ListDirectory(path))
+        reply = await self._front.schedule(path, path, 0, ListDirectory(path, self._front.memory))
         if isinstance(reply, Names):
             return self._handles.open(DirectoryHandle(path, reply.names))
         return reply
--- a/cleatyoke/sftp/codec.py
+++ b/cleatyoke/sftp/codec.py
@@ -20,6 +20,7 @@
 
 MIN_PACKET_BYTES = 5  # the type and the id; the length field does not count
 MAX_PACKET_BYTES = 66 * 1024  # without the length field; the draft requires at least 34,000
+STREAM_BUFFER_BYTES = 32 * 1024  # read at once, and buffered of a stream beyond the packet that is read
 MIN_EXTENSION_BYTES = 8  # an extended attribute: the length fields of its two strings
 MIN_NAME_BYTES = 12  # an entry of SSH_FXP_NAME: the length fields of its two strings, and its attribute flags
 
--- a/cleatyoke/sftp/server.py
+++ b/cleatyoke/sftp/server.py
@@ -9,12 +9,16 @@
 
 from cleatyoke.config.fronts_file import SftpSettings
 from cleatyoke.core import Core, Rejected, Served
+from cleatyoke.limits.memory_budget import MemoryBudget
+from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.scheduling.events import RequestArrived
 from cleatyoke.sftp.backend_commands import Command, is_write
 from cleatyoke.sftp.backends import SftpBackends
+from cleatyoke.sftp.codec import STREAM_BUFFER_BYTES
 from cleatyoke.sftp.packets import Packet, StatusCode
 from cleatyoke.sftp.session import Session
 from cleatyoke.sftp.volume_paths import CommandRejectedError, VolumePaths
+from cleatyoke.transport.sockets import limit_read_size
 
 log = structlog.get_logger()
 
@@ -23,9 +27,18 @@
     """The listener; it may be opened and closed repeatedly, as VRRP mastership is gained and lost.
 
     At most ``max_sessions`` clients are connected, so that the process can't run out of file descriptors.
+    ``memory``: what all sessions together may hold beyond their command in hand.
     """
 
-    def __init__(self, config: SftpSettings, core: Core, backends: SftpBackends, max_sessions: int) -> None:
+    def __init__(
+        self,
+        config: SftpSettings,
+        core: Core,
+        backends: SftpBackends,
+        max_sessions: int,
+        memory: MemoryPool | None = None,
+    ) -> None:
+        self.memory = memory or MemoryPool(MemoryBudget.divide(0.0, 0, max_sessions).files)
         self.config = config
         self.core = core
         self.backends = backends
@@ -38,7 +51,9 @@
         """Start accepting clients; does nothing if already open."""
         if self.listener is None:
             listen = self.config.listen
-            self.listener = await asyncio.start_server(self._accept, listen.host, listen.port)
+            self.listener = await asyncio.start_server(
+                self._accept, listen.host, listen.port, limit=STREAM_BUFFER_BYTES
+            )
             log.info("sftp_open", listen=listen)
 
     async def close(self, grace: float = 0.0) -> None:
@@ -62,6 +77,8 @@
             log.warning("sftp_session_limit_reached", limit=self.max_sessions)
             writer.transport.abort()
             return
+        assert isinstance(writer.transport, asyncio.Transport)
+        limit_read_size(writer.transport, STREAM_BUFFER_BYTES)
         session = Session(self, reader, writer)
         self.sessions.add(session)
         try:
--- a/cleatyoke/sftp/session.py
+++ b/cleatyoke/sftp/session.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import structlog
 
@@ -14,10 +14,19 @@
 from cleatyoke.sftp.volume_paths import CommandRejectedError
 
 MAX_QUEUED_PACKETS = 8  # unanswered packets of a session, beyond which reading pauses
+MEMORY_POLL_INTERVAL = 0.02  # seconds between attempts to reserve memory
 STALL_TIMEOUT = 30.0  # seconds for a client to accept an answer, or to send the rest of a packet
 log = structlog.get_logger()
 
 
+@dataclass(slots=True, frozen=True)
+class QueuedPacket:
+    """A packet that waits for its turn, and the bytes that are reserved for it."""
+
+    raw: bytes
+    reserved: int
+
+
 class Session:
     """One client's connection.
 
@@ -28,13 +37,15 @@
     def __init__(
         self, front: CommandScheduler, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.handles = HandleTable(front.config.max_open_files)
+        self.handles = HandleTable(front.config.max_open_files, front.memory)
+        self._memory = front.memory
         self.has_ended = asyncio.Event()
         self._idle_timeout = front.config.idle_timeout
         self._commands = ClientCommands(front, self.handles)
         self._reader = reader
         self._writer = writer
-        self._queue: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_PACKETS)
+        self._queue: asyncio.Queue[QueuedPacket | None] = asyncio.Queue(MAX_QUEUED_PACKETS)
+        self._queued_bytes = 0  # reserved for queued packets
         self._is_shutting_down = False
         self._is_busy = False
         self._answer_task: asyncio.Task[None] | None = None
@@ -53,6 +64,8 @@
                 task.cancel()  # cancels the running command of a client that disconnected
             await asyncio.gather(read_task, self._answer_task, return_exceptions=True)
             self._writer.close()
+            self._release(self._queued_bytes)
+            self.handles.release_all()
             self.has_ended.set()
 
     def begin_shutdown(self) -> None:
@@ -73,7 +86,9 @@
                     size = await read_size(self._reader)
                 async with asyncio.timeout(STALL_TIMEOUT):
                     raw = await self._reader.readexactly(size)
-                await self._queue.put(raw)
+                reserved = await self._wait_for_memory(size)
+                self._queued_bytes += reserved
+                await self._queue.put(QueuedPacket(raw, reserved))
             except TimeoutError:
                 log.info("sftp_idle_closed")
                 return False
@@ -83,11 +98,27 @@
                 log.warning("sftp_malformed_stream", reason=str(error))
                 return True
 
+    async def _wait_for_memory(self, size: int) -> int:
+        """Reserve memory for a packet, and return the reserved bytes.
+
+        Each session has memory for one queued packet. If there is none for more, wait until it is taken.
+        """
+        while not self._queue.empty():
+            if self._memory.reserve(size):
+                return size
+            await asyncio.sleep(MEMORY_POLL_INTERVAL)
+        return 0
+
+    def _release(self, size: int) -> None:
+        self._memory.release(size)
+        self._queued_bytes -= size
+
     async def _answer_packets(self) -> None:
         is_first = True
-        while (raw := await self._queue.get()) is not None and not self._is_shutting_down:
+        while (queued := await self._queue.get()) is not None and not self._is_shutting_down:
+            self._release(queued.reserved)
             self._is_busy = True
-            reply = await self._answer(raw, is_first=is_first)
+            reply = await self._answer(queued.raw, is_first=is_first)
             is_first = False
             self._writer.write(encode(reply))
             try:
--- a/tests/recorded/bytes_adapter.py
+++ b/tests/recorded/bytes_adapter.py
@@ -847,7 +847,7 @@
         plans={"public": 0},
         client_timeouts=[20.0, 20.0, 20.0],
         changes_data=[False, True, True],
-        memory=dataclasses.replace(MemoryBudget.divide(0.0, 484, True), long_bodies=36 << 20),
+        memory=dataclasses.replace(MemoryBudget.divide(0.0, 484, 32), long_bodies=36 << 20),
         shard_count=9,
         zones={"basement": 0},
         connect_timeout=EXCHANGE_TIMEOUT,
--- a/tests/test_sftp_front.py
+++ b/tests/test_sftp_front.py
@@ -11,6 +11,7 @@
 from cleatyoke.config.fronts_file import SftpSettings, VolumePath
 from cleatyoke.core import Core
 from cleatyoke.discovery.directory import Directory
+from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.scheduling.events import EndpointState
 from cleatyoke.scheduling.settings import VolumePlan
 from cleatyoke.sftp import codec
@@ -25,6 +26,17 @@
 PUBLIC_PLAN = plan_spec(base_rate=80.0, reserved_rate=80.0)
 
 
+class EndlessListing(ScriptedFileBackend):
+    """Its listings have no end, and long names."""
+
+    def look_up(self, packet: Any, handles: Any) -> p.Packet:
+        if isinstance(packet, p.Opendir):
+            return p.Handle(packet.id, b"d")
+        if isinstance(packet, p.Readdir):
+            return p.Names(packet.id, [p.Name("n" * 30_000, "l" * 30_000, NO_ATTRS)])
+        return super().look_up(packet, handles)
+
+
 class Client:
     """An SFTP client that sends one command at a time."""
 
@@ -58,14 +70,18 @@
 
 class SftpFrontTests(unittest.IsolatedAsyncioTestCase):
     async def start_front(
-        self, *backends: ScriptedFileBackend, plan: VolumePlan = PUBLIC_PLAN, **changes: Any
+        self,
+        *backends: ScriptedFileBackend,
+        plan: VolumePlan = PUBLIC_PLAN,
+        memory: int = 32 << 20,
+        **changes: Any,
     ) -> Client:
         self.core, self.directory = Core(two_classes(plans=[plan])), Directory({})
         settings = SftpSettings(
             Address("127.0.0.1", 0), [VolumePath("/plats", 7, 0, 0, 1)], 0, 1, 0, 65536, 8192, 4, 5.0, 1.0
         )
         self.pool = SftpBackends(self.directory, 0, 0.25, 30.0, 32)
-        self.server = SftpServer(replace(settings, **changes), self.core, self.pool, 32)
+        self.server = SftpServer(replace(settings, **changes), self.core, self.pool, 32, MemoryPool(memory))
         await self.server.open()
         self.backends = [await backend.start() for backend in backends]
         if backends:
@@ -203,6 +219,42 @@
         self.assert_failed(status, p.StatusCode.SSH_FX_FAILURE, "not stored")
         assert backend.accepted == 0
 
+    async def test_listing_without_end_takes_no_more_than_the_memory_of_the_file_service(self) -> None:
+        """A backend's listing does not end, and its names are long.
+
+        With a limit on the number of names alone, a few such listings exhaust the memory of the front.
+        """
+        client = await self.start_front(backend := EndlessListing(), memory=2 << 20)
+        async with asyncio.timeout(5):
+            self.assert_failed(
+                await client.list_directory("/plats"), p.StatusCode.SSH_FX_FAILURE, "nothing was done"
+            )
+        assert backend.commands.count("Readdir") <= 4 * (2 << 20) // 60_000 + 4  # in four attempts
+        assert self.server.memory.used == 0
+
+    async def test_uploads_beyond_memory_of_file_service_are_rejected_and_free_it(self) -> None:
+        """The open uploads of all sessions exceed the memory that these may hold.
+
+        The WRITE that finds none is rejected, and so is its CLOSE; the others are stored.
+        """
+        client = await self.start_front(backend := ScriptedFileBackend(), memory=100_000)
+        handles = [
+            (await client.request(p.Open(0, f"/plats/t{number}", CREATE_FLAGS, NO_ATTRS))).handle
+            for number in range(4)
+        ]
+        written = [await client.request(p.Write(0, handle, 0, bytes(32_000))) for handle in handles]
+        assert [status.code == p.StatusCode.SSH_FX_OK for status in written] == [True] * 3 + [False]
+        self.assert_failed(
+            await client.request(p.Close(0, handles[3])), p.StatusCode.SSH_FX_FAILURE, "not stored"
+        )
+        assert (await client.request(p.Close(0, handles[0]))).code == p.StatusCode.SSH_FX_OK
+        assert backend.stored == {"/plats/t0": 1}
+        client.writer.close()
+        async with asyncio.timeout(5):
+            while self.server.sessions:
+                await asyncio.sleep(0.01)
+        assert self.server.memory.used == 0
+
     async def test_malformed_packets_and_unknown_handles_and_commands_get_distinct_errors(self) -> None:
         """Clients send unknown handles, unsupported commands, truncated packets and garbage.
 
