Abort a backend connection that has not sent its whole request instead of pooling it

Measured: test_connection_with_unsent_body_is_not_reused failed without the change (503 for 200), passes with it.

--- a/cleatyoke/http/backends.py
+++ b/cleatyoke/http/backends.py
@@ -182,8 +182,13 @@
     def _release(
         self, pool: ConnectionPool, connection: BackendConnection | None, connection_reusable: bool
     ) -> None:
-        """Return a connection to its pool or abort it; release the slot of one that was not opened."""
-        if connection and connection_reusable and connection.transport and not pool.is_retired:
+        """Return a connection to its pool or abort it; release the slot of one that was not opened.
+
+        One that has not sent its whole request is aborted: the rest would be held while it is pooled, and the
+        next request would be written into the middle of it.
+        """
+        may_be_pooled = connection_reusable and not pool.is_retired
+        if connection and may_be_pooled and connection.transport and not connection.is_sending():
             self._return_to_pool(pool, connection)
             return
         self.open_connections -= 1
--- a/tests/test_http_attempts.py
+++ b/tests/test_http_attempts.py
@@ -12,6 +12,7 @@
 
 from cleatyoke.core import AttemptResult, Core, MayBegin, Served
 from cleatyoke.discovery.directory import Directory
+from cleatyoke.http import backends as backends_module
 from cleatyoke.scheduling.actions import SendAttempt
 from cleatyoke.scheduling.events import (
     AttemptOutcome,
@@ -22,10 +23,39 @@
 from cleatyoke.scheduling.settings import Idempotency
 from tests.driven_front import DrivenFront, class_spec, endpoint, settings
 from tests.http_case import FrontCase, answer_at_once, client_request
-from tests.scripted_peers import answer, config, instance, listed
+from tests.scripted_peers import ScriptedHttpBackend, answer, config, instance, listed
+
+
+class EarlyRejection(ScriptedHttpBackend):
+    """Rejects the request of its first connection before reading the body, and keeps the connection."""
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.accepted > 1:
+            await super().serve_connection(reader, writer)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer(503, b"", "X-Never-Ran: 1"))
+        await asyncio.sleep(0.3)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            await super().serve_connection(reader, writer)
 
 
 class AttemptOutcomeTests(FrontCase):
+    async def test_connection_with_unsent_body_is_not_reused(self) -> None:
+        """A backend rejects a long upload before it has read it, and keeps the connection.
+
+        The next attempt would be written into the middle of the body that is still being sent.
+        """
+        await self.start_front(answer_at_once)
+        self.backend.stop()
+        self.backend = await EarlyRejection(answer_at_once).start()
+        self.core.notify(listed(self.directory, instance("s-b", self.backend.port), whole=True))
+        body = bytes(12 << 20)
+        with mock.patch.object(backends_module, "REUSE_DELAY", 0.0):
+            async with asyncio.timeout(5):
+                assert (await self.send_request("t", "PUT", body))[0] == 200
+        assert self.backend.bodies["t"] == body
+        assert self.backend.accepted == 2
+
     async def test_request_on_broken_pooled_connection_is_not_resent(self) -> None:
         """A pooled connection breaks after a write was sent on it.
 
