Limit the bytes of an incomplete head to 16 KiB, so that heads fit the memory of a connection

Cause: a head was limited by its fields alone, 64 of 4 KiB, so each connection could hold a quarter of a megabyte that the memory budget does not have for it. Change: more than 16 KiB of a head that is not complete get 431 and the end of the connection.

--- a/cleatyoke/http/client_connection.py
+++ b/cleatyoke/http/client_connection.py
@@ -25,10 +25,14 @@
 IDLE_TIMEOUT = 2.1  # seconds for which a connection may be without a request
 HEAD_TIMEOUT = 2.6  # seconds for a head from its first byte, if the idle timeout expires while it arrives
 MAX_HEAD_FIELD_BYTES = 4096  # longest line or header field of a head
+MAX_HEAD_BYTES = 16 * 1024  # received of a head that is not complete
 MAX_HEAD_FIELDS = 64  # header fields of a head: the protocol page has nine
 STALL_TIMEOUT = 30.0  # seconds in which a client must take some of its answer: at 64 kB/s the kernel's send
 # buffer of 4 MiB accepts more bytes only every 22 s
 READ_DELAY = 0.001  # seconds until received bytes are read: the loop reads sockets before it runs timers
+HEAD_TOO_LONG = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 log = structlog.get_logger()
 
 
@@ -57,6 +61,7 @@
         self.connections = connections
         self.opened_at = self._loop.time()
         self.head_started_at: float | None = None  # when the first byte of an incomplete head was received
+        self._head_bytes = 0  # received of an incomplete head
         self.is_busy = False  # a request is being handled
         self.is_request_complete = False  # that request has been received completely
         self.response_timeout: asyncio.Timeout | None = None  # set while the request is being served
@@ -155,11 +160,23 @@
                 self.connections.mark_active(self)
             elif not self.is_busy and self.head_started_at is None:
                 self.head_started_at = self._loop.time()
+            self._limit_head(len(data))
         elif self.response_timeout is None:  # a response is being forwarded or written
             self.force_close()
         elif not self.response_timeout.expired():
             self.response_timeout.reschedule(self._loop.time())
 
+    def _limit_head(self, size: int) -> None:
+        """Reject a head of which more than ``MAX_HEAD_BYTES`` have come, ``size`` of them just now."""
+        if self not in self.connections.idle:  # a complete head has been received
+            self._head_bytes = 0
+            return
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES and self.transport is not None:
+            self.connections.remove(self)
+            self.transport.write(HEAD_TOO_LONG)
+            self.force_close()
+
     def has_pipelined_messages(self) -> bool:
         """Whether messages beyond the request being handled have been received."""
         return bool(self._messages)
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -122,6 +122,20 @@
         for _, writer in peers:
             writer.close()
 
+    async def test_long_head_of_short_fields_is_rejected_before_it_ends(self) -> None:
+        """A client sends a head with many fields of which each is short enough.
+
+        With a limit for each field alone, hundreds of such heads would hold a quarter of a megabyte each.
+        """
+        await self.start_front(answer_at_once)
+        fields = [f"X-{number}: {'x' * 3000}" for number in range(7)]
+        reader, writer = await self.connect(self.request_head("t", *fields)[:-2])
+        async with asyncio.timeout(1):
+            assert b" 431 " in await reader.readline()
+            assert (await reader.read()).endswith(b"\r\n\r\n")
+        writer.close()
+        assert not self.front.connections.clients
+
     async def test_idle_timeout_does_not_close_connection_with_partial_head(self) -> None:
         """The first bytes of a head are received shortly before the idle timeout.
 
