Leave room for the longest body before other shares of memory grow

Need: at 96 MB and 1,024 descriptors the fractions of answers and short bodies left 27 MB for long bodies, so an upload of 32 MB that fits was rejected with 413. Change: these shares shrink, down to 1 MiB, if the longest body would not fit beside them.

--- a/cleatyoke/limits/memory_budget.py
+++ b/cleatyoke/limits/memory_budget.py
@@ -30,6 +30,7 @@
 _ANSWERS_FRACTION = 1 / 8  # of what clients may occupy beyond the connections themselves
 _SHORT_BODIES_FRACTION = 1 / 8
 _FILES_FRACTION = 1 / 5
+_SHARES = 3  # with such a fraction
 _MAX_LONG_BODIES_FRACTION = 0.45  # of the whole memory
 _MIN_LONG_BODIES_BYTES = 4 * MEBIBYTE
 _HEADROOM_DIVISOR = 4  # of their memory, long bodies leave this part to shorter ones
@@ -70,9 +71,9 @@
         limit = int(memory_mb * MEBIBYTE)
         connections = clients * _CONNECTION_BYTES + file_sessions * _FILE_SESSION_BYTES
         available = max(0, limit - _PROCESS_BYTES - connections)
-        answers = max(_MIN_SHARE_BYTES, int(available * _ANSWERS_FRACTION))
-        short_bodies = max(_MIN_SHARE_BYTES, int(available * _SHORT_BODIES_FRACTION))
-        files = max(_MIN_SHARE_BYTES, int(available * _FILES_FRACTION)) if file_sessions else 0
+        answers = _share(available, _ANSWERS_FRACTION)
+        short_bodies = _share(available, _SHORT_BODIES_FRACTION)
+        files = _share(available, _FILES_FRACTION) if file_sessions else 0
         rest = available - answers - short_bodies - files
         long_bodies = max(_MIN_LONG_BODIES_BYTES, min(rest, int(limit * _MAX_LONG_BODIES_FRACTION)))
         max_upload = min(MAX_UPLOAD_BYTES, long_bodies - _MIN_SHARE_BYTES)
@@ -84,3 +85,9 @@
             answers=answers,
             files=files,
         )
+
+
+def _share(available: int, fraction: float) -> int:
+    """Return a fraction of the available bytes, or less if the longest upload would not fit beside it."""
+    beside_longest_upload = available - MAX_UPLOAD_BYTES - _MIN_SHARE_BYTES
+    return max(_MIN_SHARE_BYTES, min(int(available * fraction), beside_longest_upload // _SHARES))
