--- a/cleatyoke/http/body_limits.py
+++ b/cleatyoke/http/body_limits.py
@@ -47,6 +47,7 @@
         self._short_total = short_total
         self._short_parts: dict[Hashable, int] = {}
         self._short_used = 0
+        self._waiting_whole: dict[Hashable, int] = {}  # sizes of declared bodies, in waiting order
         self.reserved: dict[Hashable, int] = {}
         self.waiting: dict[Hashable, None] = {}  # in waiting order; the first one has priority
 
@@ -77,11 +78,23 @@
         extra = size - short_part
         set_aside = self.max_body if self.waiting else 0
         others = sum(self.reserved.values())
-        if extra and others + extra + min(extra, self.headroom) > self.total - set_aside:
+        is_too_much = others + extra + min(extra, self.headroom) > self.total - set_aside
+        if extra and (is_too_much or self._is_behind(body, size)):
+            self._waiting_whole.setdefault(body, size)
             return False
+        self._waiting_whole.pop(body, None)
         self._grant(body, short_part, extra)
         return True
 
+    def _is_behind(self, body: Hashable, size: int) -> bool:
+        """Whether a body that is no longer has waited for longer."""
+        for other, other_size in self._waiting_whole.items():
+            if other == body:
+                return False
+            if other_size <= size:
+                return True
+        return False
+
     def held_bytes(self) -> int:
         """Return the bytes that are reserved."""
         return self._short_used + sum(self.reserved.values())
@@ -115,5 +128,6 @@
     def release(self, body: Hashable) -> None:
         """Free the memory of a body whose request is answered or whose client has disconnected."""
         self._short_used -= self._short_parts.pop(body, 0)
+        self._waiting_whole.pop(body, None)
         self.reserved.pop(body, None)
         self.waiting.pop(body, None)
--- a/cleatyoke/http/body_reader.py
+++ b/cleatyoke/http/body_reader.py
@@ -15,7 +15,7 @@
 BODY_TIMEOUT = BODY_GRACE  # seconds for a short body to arrive
 READ_DELAY = 0.001  # seconds until received bytes are read: the loop reads sockets before it runs timers
 MEMORY_POLL_INTERVAL = 0.02  # seconds between attempts to reserve memory
-MAX_LAG_FRACTION = 0.5  # of the time that the client waits: a later rejection leaves it no time to retry
+MAX_LAG_FRACTION = 0.8  # of the time that the client waits: the rest is for the request itself
 CATCH_UP_TIME = 0.05  # seconds without unread bytes, after which a client has written nothing more: the
 # tolerance that the protocol page gives every time limit
 
