Wait for a slow response as long as its client does, instead of 50 ms between reads

Change: ResponseWait decides with the client's time. A stalled response is given up 0.15 s before the end if a retry is allowed; one of unknown length is forwarded at the end, as it may be a long one of which the first bytes are timed; a rejection counts with its head. The scheduler's cancellation no longer hits an attempt whose answer has begun. Why it works: whether an answer is slow or endless is decided by the only thing that tells, the time that the client gives.

--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -34,7 +34,7 @@
     TimerFired,
 )
 from cleatyoke.scheduling.scheduler import Scheduler
-from cleatyoke.scheduling.settings import SchedulerSettings
+from cleatyoke.scheduling.settings import Idempotency, SchedulerSettings
 
 T = TypeVar("T")
 # Seconds, not configurable. The two margins allow for delays of this process's own event loop.
@@ -87,16 +87,18 @@
     """A request being served: the scheduler's decisions on it, and its running timeouts.
 
     ``answer_timeout`` bounds the final answer, ``attempt_timeout`` the attempt in flight, if any.
-    ``attempts``: number of attempts made so far.
+    ``attempts``: number of attempts made so far. ``answer_has_begun``: part of an answer to the current one
+    has been received.
     """
 
-    __slots__ = ("answer_timeout", "attempt_timeout", "attempts", "decisions")
+    __slots__ = ("answer_has_begun", "answer_timeout", "attempt_timeout", "attempts", "decisions")
 
     def __init__(self) -> None:
         self.decisions: asyncio.Queue[SendAttempt | Reject | FailRequest] = asyncio.Queue()
         self.answer_timeout: asyncio.Timeout | None = None
         self.attempt_timeout: asyncio.Timeout | None = None
         self.attempts = 0
+        self.answer_has_begun = False
 
 
 def _events_unchanged(_now: float, events: list[SchedulerEvent]) -> list[SchedulerEvent]:
@@ -191,10 +193,28 @@
         pending = self.pending.get(request_id)
         if pending is None or attempt != pending.attempts - 1:
             return
+        if pending.answer_has_begun:  # it is neither lost nor waiting at a node that hangs
+            return
         timeout = pending.attempt_timeout
         if timeout and not timeout.expired():  # both may be due at once after the process was paused
             timeout.reschedule(self.loop.time())
 
+    def note_answer_begun(self, request_id: str) -> None:
+        """Note that the first byte of an answer to the request's current attempt has been received.
+
+        From then on the scheduler does not cancel the attempt: cancelling is for answers that do not come.
+        """
+        if pending := self.pending.get(request_id):
+            pending.answer_has_begun = True
+
+    def may_retry(self, arrival: RequestArrived) -> bool:
+        """Return whether the request may be sent again if its current attempt ends without an answer."""
+        pending = self.pending.get(arrival.request_id)
+        settings = self.scheduler.state.settings
+        idempotency = settings.classes[arrival.class_index].idempotency
+        is_repeatable = idempotency is not Idempotency.NOT_IDEMPOTENT
+        return is_repeatable and pending is not None and pending.attempts < settings.max_attempts
+
     def begin_shutdown(self, answers_due_at: float) -> None:
         """Answer all open and new requests by ``answers_due_at`` (Unix time).
 
@@ -290,6 +310,7 @@
             return self.now() < min(decision.not_after, self.attempt_deadline(arrival))
 
         pending.attempts += 1
+        pending.answer_has_begun = False
         result = AttemptResult[T](AttemptOutcome.CANCELLED)
         settled = True  # also if cancelled by a client disconnect; the except branches set it to False
         try:
--- a/cleatyoke/http/answers.py
+++ b/cleatyoke/http/answers.py
@@ -14,6 +14,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from cleatyoke.http.messages import Header, MalformedResponseError
+from cleatyoke.http.response_wait import ResponseState
 from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.scheduling.events import AttemptOutcome
 
@@ -72,6 +73,15 @@
         """Whether the head has been received."""
         return self._message is not None
 
+    @property
+    def state(self) -> ResponseState:
+        """How much of the response has been received."""
+        if self._message is None:
+            return ResponseState.HEAD_INCOMPLETE
+        if self._message.code != 200:
+            return ResponseState.ERROR
+        return ResponseState.LENGTH_UNKNOWN if self._length is None else ResponseState.LENGTH_KNOWN
+
     def feed(self, data: bytes) -> BackendResponse | None:
         """Feed bytes; return the response once it is complete or has to be streamed."""
         self._buffer += data
--- a/cleatyoke/http/backend_connection.py
+++ b/cleatyoke/http/backend_connection.py
@@ -11,16 +11,17 @@
 import asyncio
 from collections.abc import Callable
 
+import structlog
+
 from cleatyoke.http.answers import BackendResponse, ResponseReader
 from cleatyoke.http.messages import MalformedResponseError
+from cleatyoke.http.response_wait import NextStep, ResponseWait
 from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.transport.sockets import has_unread_bytes, limit_read_size
 
-# Seconds for the rest of a response's head after its first byte, and between reads of its body: the tolerance
-# that the protocol page gives every time limit. Backends finish a response before sending it.
-RESPONSE_TIMEOUT = 0.05
+log = structlog.get_logger()
 
 
 class BackendConnection(asyncio.Protocol):
@@ -42,6 +43,7 @@
         # State of the current exchange.
         self._reader: ResponseReader | None = None
         self._response: asyncio.Future[BackendResponse] | None = None
+        self._wait: ResponseWait | None = None
         self._response_timer: asyncio.TimerHandle | None = None
         self._has_reserved = False  # the memory of a short answer that arrives in parts
         self._on_request_written: Callable[[], None] | None = None  # called once the last byte is written
@@ -88,16 +90,24 @@
         if self._reader is None or self._response is None or self._response.done():
             self.abort()
             return
+        if self._wait:
+            self._wait.receive(self.loop.time())
         try:
             response = self._feed(self._reader, data)
         except MalformedResponseError as error:
             self._fail(error)
             return
         if response is None:
-            self._restart_response_timer(self._reader)
+            self._schedule_check(self._reader)
+        else:
+            self._complete(self._reader, response)
+
+    def _complete(self, reader: ResponseReader, response: BackendResponse) -> None:
+        """Return the response from ``exchange``."""
+        if self._response is None or self._response.done():
             return
         if response.is_streamed:
-            self._begin_streaming(self._reader, response)
+            self._begin_streaming(reader, response)
         self._response.set_result(response)
 
     def _feed(self, reader: ResponseReader, data: bytes) -> BackendResponse | None:
@@ -109,7 +119,10 @@
 
     def _begin_streaming(self, reader: ResponseReader, response: BackendResponse) -> None:
         assert self.transport
-        body = StreamedBody(self.transport, response.body, response.length, self.end_streaming)
+        assert self._wait
+        body = StreamedBody(
+            self.transport, response.body, response.length, self._wait.not_after, self.end_streaming
+        )
         self.streamed_body = body
         if reader.is_complete:
             body.finish(connection_reusable=reader.is_connection_reusable())
@@ -122,15 +135,25 @@
         except MalformedResponseError as error:
             body.fail(error)
 
-    def _restart_response_timer(self, reader: ResponseReader) -> None:
-        """Start the timeout at the first byte of a response, and restart it with each read of its body."""
-        if self._response_timer is not None and not reader.is_head_complete:
+    def _schedule_check(self, reader: ResponseReader) -> None:
+        """Schedule the next decision about an incomplete response, again as soon as its head is complete."""
+        if self._wait is None:
             return
         if self._response_timer:
             self._response_timer.cancel()
-        self._response_timer = self.loop.call_later(
-            RESPONSE_TIMEOUT, self._fail, MalformedResponseError("timed out within a response")
-        )
+        at = self._wait.next_check_at(reader.state, self.loop.time())
+        self._response_timer = self.loop.call_at(at, self._check_response, reader, self._wait)
+
+    def _check_response(self, reader: ResponseReader, wait: ResponseWait) -> None:
+        match wait.next_step(reader.state, self.loop.time()):
+            case NextStep.WAIT:
+                self._schedule_check(reader)
+            case NextStep.STREAM | NextStep.USE_HEAD:
+                log.info("response_incomplete", state=reader.state.name)
+                self._complete(reader, reader.begin_streaming())
+            case NextStep.GIVE_UP:
+                log.info("response_given_up", state=reader.state.name)
+                self._fail(MalformedResponseError("timed out within a response"))
 
     def eof_received(self) -> None:
         """Handle an orderly end of the connection by the backend, which may complete the response."""
@@ -175,7 +198,9 @@
         if self.transport:
             limit_read_size(self.transport, MAX_UNSTREAMED_BYTES)
 
-    async def exchange(self, request: list[bytes], on_request_written: Callable[[], None]) -> BackendResponse:
+    async def exchange(
+        self, request: list[bytes], wait: ResponseWait, on_request_written: Callable[[], None]
+    ) -> BackendResponse:
         """Send a request, given in pieces, and return its response; a long body is in ``streamed_body``.
 
         Raises ``ConnectionError`` if the connection ended before the first byte was sent, so that the request
@@ -186,6 +211,7 @@
             raise ConnectionError(msg)
         self._reader = ResponseReader()
         self._response = self.loop.create_future()
+        self._wait = wait
         self._unsent_pieces = request[::-1]
         self._on_request_written = on_request_written
         self._write_next()
@@ -193,6 +219,7 @@
             return await self._response
         finally:
             self._response = None
+            self._wait = None
             self._on_request_written = None
             if self.streamed_body is None:
                 self._reader = None
--- a/cleatyoke/http/backends.py
+++ b/cleatyoke/http/backends.py
@@ -19,6 +19,7 @@
 from cleatyoke.http.backend_connection import BackendConnection
 from cleatyoke.http.messages import MalformedResponseError
 from cleatyoke.http.requests import ClientRequest, encode_attempt, encode_load_probe
+from cleatyoke.http.response_wait import ResponseWait
 from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.limits.memory_budget import MemoryBudget
 from cleatyoke.limits.memory_pool import MemoryPool
@@ -69,11 +70,11 @@
         directory.listeners.append(self.retire_pool)
 
     async def attempt(
-        self, node: int, request: ClientRequest, not_after: float, may_begin: MayBegin
+        self, node: int, request: ClientRequest, wait: ResponseWait, may_begin: MayBegin
     ) -> AttemptResult[bytes | StreamedBody]:
         """Send the request to the backend, once.
 
-        ``not_after``: loop time at which the attempt is abandoned; the remaining time is sent to the backend.
+        ``wait.not_after``: loop time at which the attempt is abandoned; the backend is sent the rest.
         ``may_begin``, and whether the backend still serves, are checked immediately before the first byte:
         connecting may take long, and an unsent request provably has no effect. An attempt that ends in any
         other way without proof that it had no effect may have run. A long response counts as served with its
@@ -88,13 +89,13 @@
         self.open_connections += 1
         try:
             connection = self.take_idle(pool) or await self.connect(pool)
-            max_wait = not_after - asyncio.get_running_loop().time()
+            max_wait = wait.not_after - asyncio.get_running_loop().time()
             if pool.is_retired or not self.directory.is_serving(node) or not may_begin():
                 is_unused = True
                 return AttemptResult(AttemptOutcome.NOT_SENT)
             pieces = encode_attempt(request, pool.address, max_wait)
             try:
-                response = await connection.exchange(pieces, self._count_call)
+                response = await connection.exchange(pieces, wait, self._count_call)
             except MalformedResponseError:
                 if connection.is_sending():
                     return AttemptResult(AttemptOutcome.CONNECTION_FAILED)
@@ -124,7 +125,9 @@
         try:
             async with asyncio.timeout(timeout):
                 connection = self.take_idle(pool) or await self.connect(pool)
-                response = await connection.exchange([encode_load_probe(pool.address)], lambda: None)
+                wait = ResponseWait(asyncio.get_running_loop().time() + timeout)
+                probe = [encode_load_probe(pool.address)]
+                response = await connection.exchange(probe, wait, lambda: None)
             return decode_load_probe(response)
         except (OSError, TimeoutError, MalformedResponseError):
             return None
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import structlog
 from aiohttp import StreamReader, web
@@ -27,6 +28,7 @@
 from cleatyoke.http.client_connections import ClientConnections
 from cleatyoke.http.messages import Header, IdempotencyKeyError, MessageError
 from cleatyoke.http.requests import ClientRequest, decode_request
+from cleatyoke.http.response_wait import ResponseWait
 from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.http.streaming import IS_TRUNCATED, forward_streamed_body
 from cleatyoke.http.trace_ids import TraceIds
@@ -231,8 +233,13 @@
 
         async def attempt(node: int, may_begin: MayBegin) -> AttemptResult[bytes | StreamedBody]:
             not_after = deadline - ATTEMPT_MARGIN - self.core.unix_offset
+            wait = ResponseWait(
+                not_after,
+                may_retry=self.core.may_retry(arrival),
+                on_begun=partial(self.core.note_answer_begun, arrival.request_id),
+            )
             return await self.backends.attempt(
-                node, decoded, not_after, lambda: may_begin() and not client.abort_if_client_gone()
+                node, decoded, wait, lambda: may_begin() and not client.abort_if_client_gone()
             )
 
         arrival = RequestArrived(
--- a/cleatyoke/http/streamed_body.py
+++ b/cleatyoke/http/streamed_body.py
@@ -7,9 +7,13 @@
 from typing import Protocol
 
 from cleatyoke.http.messages import MalformedResponseError
+from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.transport.sockets import limit_read_size
 
 STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte from the backend after which a streamed body fails
+# The same for a body that may be short, once its request's time is up: the final answer to a request may come
+# half a second late (standing test), and attempts end shortly before the client's deadline.
+SHORT_BODY_IDLE_TIMEOUT = 0.4
 
 
 class BodyReceiver(Protocol):
@@ -28,7 +32,9 @@
     Nothing is read before ``start``, and while the body is paused. Beyond the first piece, which came with
     the head, nothing is buffered here: each piece is passed on as it is received. The owner must close the
     body. If the backend sends nothing for ``STREAM_IDLE_TIMEOUT`` seconds, the body fails; a body that is not
-    started in that time fails and closes itself, so that its connection is not leaked.
+    started in that time fails and closes itself, so that its connection is not leaked. Until a body is known
+    to be a long one, ``SHORT_BODY_IDLE_TIMEOUT`` applies after ``not_after``, the loop time at which the
+    attempt would have timed out.
     """
 
     def __init__(
@@ -36,12 +42,15 @@
         transport: asyncio.Transport,
         first_piece: bytes,
         length: int | None,
+        not_after: float,
         on_detach: Callable[[], None],
     ) -> None:
         self.length = length  # bytes; None if unknown until the end
         self.on_close: Callable[[bool], None] | None = None  # called with whether the connection is reusable
         self._transport = transport
         self._first_piece = first_piece
+        self._size = max(len(first_piece), length or 0)  # known so far
+        self._not_after = not_after
         self._on_detach = on_detach  # makes the connection forget this body
         self._loop = asyncio.get_running_loop()
         self._receiver: BodyReceiver | None = None
@@ -49,7 +58,7 @@
         self._connection_reusable = False
         self._error: MalformedResponseError | None = None
         self._has_ended = False  # the receiver knows of the end
-        self._idle_timer = self._loop.call_later(STREAM_IDLE_TIMEOUT, self._time_out)
+        self._idle_timer = self._loop.call_at(self._idle_at(), self._time_out)
         transport.pause_reading()
 
     def start(self, receiver: BodyReceiver) -> None:
@@ -80,6 +89,7 @@
 
     def append(self, piece: bytes) -> None:
         """Deliver bytes that the connection has received."""
+        self._size = max(self._size, self.length or self._size + len(piece))
         self._restart_idle_timer()
         if piece and self._receiver:
             self._receiver.receive_piece(piece)
@@ -118,7 +128,14 @@
     def _restart_idle_timer(self) -> None:
         self._idle_timer.cancel()
         if not (self._is_complete or self._has_ended):
-            self._idle_timer = self._loop.call_later(STREAM_IDLE_TIMEOUT, self._time_out)
+            self._idle_timer = self._loop.call_at(self._idle_at(), self._time_out)
+
+    def _idle_at(self) -> float:
+        """Return the loop time at which the body fails if nothing is received until then."""
+        now = self._loop.time()
+        if self._size > MAX_UNSTREAMED_BYTES:
+            return now + STREAM_IDLE_TIMEOUT
+        return max(now, self._not_after) + SHORT_BODY_IDLE_TIMEOUT
 
     def _time_out(self) -> None:
         is_started = self._receiver is not None
--- a/tests/http_case.py
+++ b/tests/http_case.py
@@ -20,6 +20,7 @@
 from cleatyoke.http.client_connection import ClientConnection
 from cleatyoke.http.messages import MalformedResponseError
 from cleatyoke.http.requests import ClientRequest
+from cleatyoke.http.response_wait import ResponseWait
 from cleatyoke.http.server import HttpServer
 from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.transport.closing import ClosingTransport
@@ -123,8 +124,8 @@
     async def attempt(
         self, node: int, request: ClientRequest, may_begin: Callable[[], bool] = lambda: True
     ) -> AttemptResult[bytes | StreamedBody]:
-        not_after = asyncio.get_running_loop().time() + 1.0
-        return await self.backends.attempt(node, request, not_after, may_begin)
+        wait = ResponseWait(asyncio.get_running_loop().time() + 1.0)
+        return await self.backends.attempt(node, request, wait, may_begin)
 
     async def wait_until(self, condition: Any) -> None:
         async with asyncio.timeout(5):
--- a/tests/test_http_answers.py
+++ b/tests/test_http_answers.py
@@ -13,10 +13,10 @@
 
 from cleatyoke.core import AttemptResult
 from cleatyoke.discovery.directory import Directory
-from cleatyoke.http import backend_connection as backend_connection_module
 from cleatyoke.http import backends as backends_module
 from cleatyoke.http.answers import decode_utilization
 from cleatyoke.http.backends import BackendPools
+from cleatyoke.http.response_wait import ResponseWait
 from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.scheduling.events import (
     AttemptOutcome,
@@ -53,10 +53,9 @@
             return malformed[int(trace)]
 
         await self.start_front(script)
-        with mock.patch.object(backend_connection_module, "RESPONSE_TIMEOUT", 0.05):
-            for index, response in enumerate(malformed):
-                result = await self.attempt(1, client_request(str(index), "PUT", b"scan"))
-                assert result == AttemptResult(AttemptOutcome.CONNECTION_RESET), response[:80]
+        for index, response in enumerate(malformed):
+            result = await self.attempt(1, client_request(str(index), "PUT", b"scan"))
+            assert result == AttemptResult(AttemptOutcome.CONNECTION_RESET), response[:80]
         assert set(self.backend.counts.values()) == {1}
         assert (self.backend.accepted, self.backends.open_connections) == (len(malformed), 0)
 
@@ -157,7 +156,9 @@
             pools = BackendPools(directory := Directory({}), 0.25, 30.0, 8)
             listed(directory, instance("s-a", server.sockets[0].getsockname()[1]))
             not_after = asyncio.get_running_loop().time() + 1.0
-            result = await pools.attempt(1, client_request("t", "PUT", b"scan"), not_after, lambda: True)
+            result = await pools.attempt(
+                1, client_request("t", "PUT", b"scan"), ResponseWait(not_after), lambda: True
+            )
             server.close()
             return result
 
@@ -165,9 +166,9 @@
         assert await run_attempt(reset=False) == AttemptResult(AttemptOutcome.SERVED, b"tile")
 
     async def test_incomplete_response_counts_as_reset_after_timeout(self) -> None:
-        """A backend stops sending within a status line or a body.
+        """A backend stops sending within a status line or a body of a request that may be sent again.
 
-        Without a timeout between reads, the attempt would hold its slot until the deadline.
+        Without a timeout before the deadline, there would be no time for a retry.
         """
 
         async def run_attempt(*pieces: bytes) -> AttemptResult[Any]:
@@ -184,10 +185,9 @@
             pools = BackendPools(directory := Directory({}), 0.25, 30.0, 8)
             listed(directory, instance("s-a", server.sockets[0].getsockname()[1]))
             loop = asyncio.get_running_loop()
-            async with asyncio.timeout(1.0):
-                result = await pools.attempt(
-                    1, client_request("t", "PUT", b"scan"), loop.time() + 1.0, lambda: True
-                )
+            async with asyncio.timeout(0.9):
+                wait = ResponseWait(loop.time() + 1.0, may_retry=True)
+                result = await pools.attempt(1, client_request("t", "PUT", b"scan"), wait, lambda: True)
             server.close()
             return result
 
