Bound the memory of all clients by what the limit leaves beside the process, from 32 MB on

Cause: the division reserved 40 MiB for the process and gave every share a least size; below 66 MB their sum was over the limit, and descriptors alone decided how many connections were accepted and requests open. Change: the process measures itself at its start, and the rest is divided among connections, open requests, bodies that are being read and pools. Heads are collected as raw bytes until their request may be open; if too many are, it waits 0.25 s at most, then gets 503. Requests with short and with long bodies have limits of their own. A rejected upload is read on, so that its client sees 413 in place of a reset.

--- a/cleatyoke/__main__.py
+++ b/cleatyoke/__main__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from cleatyoke.process import fast_import  # noqa: F401  must precede every import of asyncio
+
+# isort: split
 import asyncio
 import os
 import signal
@@ -10,15 +13,13 @@
 from pathlib import Path
 from typing import NoReturn
 
-from cleatyoke.process import fast_import  # noqa: F401  must precede every import of aiohttp
-
-# isort: split
 from cleatyoke.config.deployment import read_config
 from cleatyoke.config.errors import ConfigError
 from cleatyoke.config.fronts_file import FRONTS_FILE
 from cleatyoke.process.daemon import run
 from cleatyoke.process.lifecycle import ExitStatus
 from cleatyoke.process.logs import configure_logging
+from cleatyoke.process.own_memory import own_memory
 
 
 def main(arguments: Sequence[str] = ()) -> int:
@@ -28,7 +29,8 @@
     configure_logging()
     try:
         fronts_file = read_arguments(arguments)
-        status = asyncio.run(run(read_config(os.environ, fronts_file), fronts_file))
+        config = read_config(os.environ, fronts_file, process_bytes=own_memory())
+        status = asyncio.run(run(config, fronts_file))
     except ConfigError as error:
         print(f"cleatyoke: {error}", file=sys.stderr)
         status = ExitStatus.START_FAILED
--- a/cleatyoke/config/deployment.py
+++ b/cleatyoke/config/deployment.py
@@ -36,7 +36,7 @@
     SocketBudget,
 )
 from cleatyoke.config.table import TableReader
-from cleatyoke.limits.memory_budget import MemoryBudget
+from cleatyoke.limits.memory_budget import DEFAULT_PROCESS_BYTES, MemoryBudget
 from cleatyoke.scheduling.settings import SchedulerSettings
 
 MAX_COUNTED_CLIENT_TIMEOUT = 3.0  # seconds; longer client timeouts do not extend the grace period
@@ -95,6 +95,7 @@
     plans: dict[str, int]  # index by name
     client_timeouts: list[float]  # by class: maximum seconds that its clients wait; infinite: not stated
     memory: MemoryBudget
+    memory_mb: float  # limit of the process, 0 if unknown
     changes_data: list[bool | None]  # by class, None: unknown; empty: the settings do not state it
     shard_count: int  # shards are numbered from 0; 0: the settings do not state it
     zones: dict[str, int]  # index by name
@@ -125,9 +126,9 @@
         These are the scheduler's settings, ``classes``, ``plans``, ``client_timeouts``, ``changes_data``,
         ``shard_count``, ``drain_grace``, and the address of discovery if it changed in the file. A changed
         address overrides RELAY_DISCOVERY, because the environment of a running process cannot be changed.
-        ``cached_endpoints``, ``seed``, ``zones`` and ``memory`` are used at startup only, and the
-        log's ``next_start`` does not list them. A file that lacks a key of the previous file is rejected, as
-        it may be incompletely written.
+        ``cached_endpoints``, ``seed``, ``zones``, ``memory`` and ``memory_mb`` are used at startup only, and
+        the log's ``next_start`` does not list them. A file that lacks a key of the previous file is rejected,
+        as it may be incompletely written.
         """
         if missing_key := first_missing_key(self.keys, new.keys):
             msg = f"{missing_key}: missing, and the file had it before"
@@ -191,11 +192,13 @@
     environment: Mapping[str, str],
     fronts_file: Path = FRONTS_FILE,
     override_settings: Callable[[Any], Any] = use_file_settings,
+    process_bytes: int | None = None,
 ) -> Config:
     """Read the whole configuration. Raises ``ConfigError``.
 
     RELAY_* environment variables override the corresponding keys of the JSON file that RELAY_CONFIG names.
     ``override_settings`` maps the file's settings to those in force, which may be distributed ones.
+    ``process_bytes``: the memory that the process takes before it serves, None if it is not known.
     """
     values = _read_json_file(environment.get("RELAY_CONFIG", ""))
     values = {**values, "settings": override_settings(values.get("settings"))}
@@ -227,7 +230,13 @@
         classes=class_and_plan_indexes.classes,
         plans=class_and_plan_indexes.plans,
         client_timeouts=front_settings.client_timeouts,
-        memory=MemoryBudget.divide(memory_mb, socket_budget.clients, socket_budget.file_sessions),
+        memory=MemoryBudget.divide(
+            memory_mb,
+            socket_budget.clients,
+            socket_budget.file_sessions,
+            process_bytes or DEFAULT_PROCESS_BYTES,
+        ),
+        memory_mb=memory_mb,
         changes_data=front_settings.changes_data,
         shard_count=front_settings.shard_count,
         zones=front_settings.zones,
--- a/cleatyoke/http/answers.py
+++ b/cleatyoke/http/answers.py
@@ -82,6 +82,10 @@
             return ResponseState.ERROR
         return ResponseState.LENGTH_UNKNOWN if self._length is None else ResponseState.LENGTH_KNOWN
 
+    def max_buffered_bytes(self) -> int:
+        """Return how many bytes of the body are buffered at most before it is complete or streamed."""
+        return MAX_UNSTREAMED_BYTES if self._length is None else min(self._length, MAX_UNSTREAMED_BYTES)
+
     def feed(self, data: bytes) -> BackendResponse | None:
         """Feed bytes; return the response once it is complete or has to be streamed."""
         self._buffer += data
--- a/cleatyoke/http/backend_connection.py
+++ b/cleatyoke/http/backend_connection.py
@@ -28,11 +28,13 @@
     """A connection to a backend that carries one exchange at a time. Times are loop times in seconds.
 
     ``answers``: the memory that answers share. A short answer that arrives in parts takes its memory there;
-    if there is none, it is streamed like a long one.
+    if there is none, it is streamed like a long one. ``read_bytes``: how much of an answer that is not
+    streamed may be read at once in any case; more, up to ``MAX_UNSTREAMED_BYTES``, as far as memory allows.
     """
 
-    def __init__(self, answers: MemoryPool) -> None:
+    def __init__(self, answers: MemoryPool, read_bytes: int = MAX_UNSTREAMED_BYTES) -> None:
         self.answers = answers
+        self._read_bytes = read_bytes
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
         self.streamed_body: StreamedBody | None = None  # body of the current response, if it is streamed
@@ -45,7 +47,8 @@
         self._response: asyncio.Future[BackendResponse] | None = None
         self._wait: ResponseWait | None = None
         self._response_timer: asyncio.TimerHandle | None = None
-        self._has_reserved = False  # the memory of a short answer that arrives in parts
+        self._reserved_bytes = 0  # of a short answer that arrives in parts
+        self._granted_bytes = 0  # for longer reads than ``read_bytes``
         self._on_request_written: Callable[[], None] | None = None  # called once the last byte is written
         self._unsent_pieces: list[bytes] = []  # not yet passed to the transport, the last piece first
         self._is_writing_paused = False  # the transport still buffers bytes
@@ -55,7 +58,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(0)
-        limit_read_size(transport, MAX_UNSTREAMED_BYTES)
+        limit_read_size(transport, self._read_bytes)
 
     def pause_writing(self) -> None:
         """Stop writing pieces until the transport's buffer is empty."""
@@ -112,10 +115,14 @@
 
     def _feed(self, reader: ResponseReader, data: bytes) -> BackendResponse | None:
         response = reader.feed(data)
-        if response is not None or not reader.is_head_complete or self._has_reserved:
+        if response is not None or not reader.is_head_complete or self._reserved_bytes:
             return response
-        self._has_reserved = self.answers.reserve(MAX_UNSTREAMED_BYTES)
-        return None if self._has_reserved else reader.begin_streaming()
+        size = reader.max_buffered_bytes()
+        # Undelivered answers need the other half; once all is used, new requests are rejected.
+        if not self.answers.reserve(size, headroom=self.answers.total // 2):
+            return reader.begin_streaming()
+        self._reserved_bytes = size
+        return None
 
     def _begin_streaming(self, reader: ResponseReader, response: BackendResponse) -> None:
         assert self.transport
@@ -196,7 +203,7 @@
         self.streamed_body = None
         self._reader = None
         if self.transport:
-            limit_read_size(self.transport, MAX_UNSTREAMED_BYTES)
+            limit_read_size(self.transport, self._read_bytes)
 
     async def exchange(
         self, request: list[bytes], wait: ResponseWait, on_request_written: Callable[[], None]
@@ -212,6 +219,8 @@
         self._reader = ResponseReader()
         self._response = self.loop.create_future()
         self._wait = wait
+        self._granted_bytes = self.answers.grant(MAX_UNSTREAMED_BYTES - self._read_bytes)
+        limit_read_size(self.transport, self._read_bytes + self._granted_bytes)
         self._unsent_pieces = request[::-1]
         self._on_request_written = on_request_written
         self._write_next()
@@ -223,9 +232,8 @@
             self._on_request_written = None
             if self.streamed_body is None:
                 self._reader = None
-            if self._has_reserved:
-                self._has_reserved = False
-                self.answers.release(MAX_UNSTREAMED_BYTES)
+            self.answers.release(self._reserved_bytes + self._granted_bytes)
+            self._reserved_bytes = self._granted_bytes = 0
             if self._response_timer:
                 self._response_timer.cancel()
                 self._response_timer = None
--- a/cleatyoke/http/backends.py
+++ b/cleatyoke/http/backends.py
@@ -21,7 +21,7 @@
 from cleatyoke.http.requests import ClientRequest, encode_attempt, encode_load_probe
 from cleatyoke.http.response_wait import ResponseWait
 from cleatyoke.http.streamed_body import StreamedBody
-from cleatyoke.limits.memory_budget import MemoryBudget
+from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES, MemoryBudget
 from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.process.metrics import Metrics
 from cleatyoke.scheduling.events import AttemptOutcome
@@ -62,8 +62,9 @@
         self.connect_timeout = connect_timeout
         self.max_connections = max_connections
         self.metrics = metrics or Metrics()
-        # The memory that answers share; the server sets its own.
+        # The memory that answers share, and the longest read of one; the server sets its own.
         self.answers = MemoryPool(MemoryBudget.divide(0.0, max_connections, 0).answers)
+        self.response_read_bytes = MAX_UNSTREAMED_BYTES
         self.idle_timeout = idle_close * IDLE_FRACTION
         self.pools: dict[int, ConnectionPool] = {}
         self.open_connections = 0
@@ -161,7 +162,9 @@
         async with asyncio.timeout(self.connect_timeout):
             loop = asyncio.get_running_loop()
             _, connection = await loop.create_connection(
-                partial(BackendConnection, self.answers), pool.address.host, pool.address.port
+                partial(BackendConnection, self.answers, self.response_read_bytes),
+                pool.address.host,
+                pool.address.port,
             )
         return connection
 
--- a/cleatyoke/http/body_reader.py
+++ b/cleatyoke/http/body_reader.py
@@ -11,11 +11,13 @@
 from aiohttp import StreamReader
 
 from cleatyoke.http.body_limits import BODY_GRACE, BodyMemory, body_timeout
+from cleatyoke.limits.memory_budget import KIBIBYTE
 
 BODY_TIMEOUT = BODY_GRACE  # seconds for a short body to arrive
 READ_DELAY = 0.001  # seconds until received bytes are read: the loop reads sockets before it runs timers
 MEMORY_POLL_INTERVAL = 0.02  # seconds between attempts to reserve memory
 MAX_LAG_FRACTION = 0.8  # of the time that the client waits: the rest is for the request itself
+MIN_JOINED_BYTES = 4 * KIBIBYTE  # pieces that are shorter are joined to longer ones
 CATCH_UP_TIME = 0.05  # seconds without unread bytes, after which a client has written nothing more: the
 # tolerance that the protocol page gives every time limit
 
@@ -34,6 +36,12 @@
     def has_unread(self) -> bool:
         """Whether the kernel holds bytes that the event loop has not read."""
 
+    def pause_reading(self) -> None:
+        """Read and decode nothing more of the body."""
+
+    def resume_reading(self) -> None:
+        """Continue after ``pause_reading``."""
+
     def abort_if_client_gone(self) -> bool:
         """Abort the connection if its client has closed it; return whether so."""
 
@@ -50,16 +58,45 @@
     lag: float
 
 
+class BodyPieces:
+    """The pieces of a body; short ones are joined, as each object takes more than its bytes."""
+
+    def __init__(self) -> None:
+        self._pieces: list[bytes] = []
+        self._tail = bytearray()
+
+    def add(self, piece: bytes) -> None:
+        """Append a received piece."""
+        if len(piece) >= MIN_JOINED_BYTES:
+            self._seal()
+            self._pieces.append(piece)
+            return
+        self._tail += piece
+        if len(self._tail) >= MIN_JOINED_BYTES:
+            self._seal()
+
+    def take(self) -> list[bytes]:
+        """Return all pieces in order."""
+        self._seal()
+        return self._pieces
+
+    def _seal(self) -> None:
+        if self._tail:
+            self._pieces.append(bytes(self._tail))
+            self._tail.clear()
+
+
 class BodyReader:
     """Reads one body; its memory is reserved for ``sender``, which has to release it.
 
     While memory is short, nothing is read: TCP flow control stops the client, and the time does not count
     towards the timeout of the body. The last byte may have been written meanwhile, so the front may wait at
-    most a part of ``max_wait``, the seconds that the client waits for its response.
+    most a part of ``max_wait``, the seconds that the client waits for its response. ``lag``: seconds for
+    which nothing was read already.
     """
 
     def __init__(
-        self, content: StreamReader, memory: BodyMemory, sender: BodySender, max_wait: float
+        self, content: StreamReader, memory: BodyMemory, sender: BodySender, max_wait: float, lag: float = 0.0
     ) -> None:
         self._content = content
         self._memory = memory
@@ -68,7 +105,7 @@
         self._loop = asyncio.get_running_loop()
         self._began = self._loop.time()
         self._waited = 0.0  # seconds without reading, for lack of memory
-        self._lag = 0.0  # the same, since the front last knew that there was nothing to read
+        self._lag = lag  # the same, since the front last knew that there was nothing to read
         self._extension_used = False
 
     async def read(self, declared_size: int | None) -> ReceivedBody:
@@ -80,16 +117,16 @@
         """
         if declared_size is not None:
             await self._wait_for(partial(self._memory.reserve_whole, self._sender, declared_size))
-        pieces: list[bytes] = []
+        pieces = BodyPieces()
         size = 0
         while piece := await self._read_piece(size):
             size += len(piece)
             if size > self._memory.max_body:
                 raise BodyTooLongError
-            pieces.append(piece)
+            pieces.add(piece)
             if declared_size is None:
                 await self._wait_for(partial(self._memory.reserve, self._sender, size))
-        return ReceivedBody(pieces, self._lag)
+        return ReceivedBody(pieces.take(), self._lag)
 
     async def _read_piece(self, size: int) -> bytes:
         """Return the next piece, empty at the end; ``size``: bytes received before."""
@@ -110,7 +147,16 @@
         return piece
 
     async def _wait_for(self, reserve: Callable[[], bool]) -> None:
-        """Wait until ``reserve`` succeeds."""
+        """Wait until ``reserve`` succeeds; meanwhile nothing is read."""
+        if reserve():
+            return
+        self._sender.pause_reading()
+        try:
+            await self._poll(reserve)
+        finally:
+            self._sender.resume_reading()
+
+    async def _poll(self, reserve: Callable[[], bool]) -> None:
         while not reserve():
             if self._lag >= self._max_lag:
                 raise BodyMemoryError
--- a/cleatyoke/http/client_connection.py
+++ b/cleatyoke/http/client_connection.py
@@ -11,7 +11,15 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from cleatyoke.limits.memory_budget import CLIENT_READ_BYTES
+from cleatyoke.http.open_requests import OpenResult
+from cleatyoke.http.request_head import (
+    MAX_HEAD_FIELD_BYTES,
+    MAX_HEAD_FIELDS,
+    BodyKind,
+    HeadState,
+    RequestHead,
+)
+from cleatyoke.limits.memory_budget import CLIENT_READ_BYTES, FREE_HEAD_BYTES, HEAD_READ_BYTES
 from cleatyoke.limits.memory_pool import MemoryPool
 from cleatyoke.transport.closing import ClosingTransport
 from cleatyoke.transport.sockets import has_unread_bytes, is_ended, limit_read_size
@@ -24,23 +32,24 @@
 # to them.
 IDLE_TIMEOUT = 2.1  # seconds for which a connection may be without a request
 HEAD_TIMEOUT = 2.6  # seconds for a head from its first byte, if the idle timeout expires while it arrives
-MAX_HEAD_FIELD_BYTES = 4096  # longest line or header field of a head
-MAX_HEAD_BYTES = 16 * 1024  # received of a head that is not complete
-MAX_HEAD_FIELDS = 64  # header fields of a head: the protocol page has nine
+MAX_OPEN_WAIT = 0.25  # seconds for which a request waits until it may be opened: most take less than that
 STALL_TIMEOUT = 30.0  # seconds in which a client must take some of its answer: at 64 kB/s the kernel's send
 # buffer of 4 MiB accepts more bytes only every 22 s
 READ_DELAY = 0.001  # seconds until received bytes are read: the loop reads sockets before it runs timers
-HEAD_TOO_LONG = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-)
+_NO_BODY = b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+HEAD_TOO_LONG = b"HTTP/1.1 431 Request Header Fields Too Large\r\n" + _NO_BODY
+HEAD_UNREADABLE = b"HTTP/1.1 400 Bad Request\r\n" + _NO_BODY
+TOO_MANY_REQUESTS_OPEN = b"HTTP/1.1 503 Service Unavailable\r\n" + _NO_BODY
 log = structlog.get_logger()
 
 
 class ClientConnection(RequestHandler):
     """A client's connection, which carries one request at a time.
 
-    ``connection_made``, ``connection_lost``, ``data_received``, ``finish_response``, ``handle_error`` and
-    ``_process_keepalive`` override methods of aiohttp. Times are loop times in seconds.
+    A head is collected as raw bytes, and passed on to aiohttp's parser once it is complete and its request
+    may be opened (``OpenRequests``). ``connection_made``, ``connection_lost``, ``data_received``,
+    ``finish_response``, ``handle_error`` and ``_process_keepalive`` override methods of aiohttp. Times are
+    loop times in seconds.
     """
 
     def __init__(
@@ -61,7 +70,14 @@
         self.connections = connections
         self.opened_at = self._loop.time()
         self.head_started_at: float | None = None  # when the first byte of an incomplete head was received
-        self._head_bytes = 0  # received of an incomplete head
+        self._inner: asyncio.Transport | None = None  # without the graceful close
+        self._head = RequestHead()
+        self._head_memory = 0  # bytes reserved for the head
+        self._body_kind = BodyKind.NONE  # of the current request
+        self._open_timer: asyncio.TimerHandle | None = None  # set while the request waits to be opened
+        self._received_at = 0.0  # when the head was complete
+        self.open_wait = 0.0  # seconds for which the current request waited to be opened
+        self.is_request_open = False  # the head has been passed on to the parser
         self.is_busy = False  # a request is being handled
         self.is_request_complete = False  # that request has been received completely
         self.response_timeout: asyncio.Timeout | None = None  # set while the request is being served
@@ -73,7 +89,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wrap the transport, so that closing it does not lose a response."""
         assert isinstance(transport, asyncio.Transport)
-        limit_read_size(transport, CLIENT_READ_BYTES)
+        self._inner = transport
+        limit_read_size(transport, HEAD_READ_BYTES)
         transport.set_write_buffer_limits(0)
         connections = self.connections
         super().connection_made(
@@ -85,6 +102,8 @@
         """Remove the connection; aiohttp cancels a request that is being handled."""
         self.connections.remove(self)
         self._cancel_stall_timer()
+        self._cancel_open_timer()
+        self._free_head()
         self._free_answer()
         super().connection_lost(exc)
 
@@ -132,6 +151,7 @@
         """Whether an incomplete head was begun by the time ``started_by`` and no bytes are unread."""
         return (
             self.head_started_at is not None
+            and self._open_timer is None
             and self.head_started_at <= started_by
             and self.transport is not None
             and not has_unread_bytes(self.transport)
@@ -154,27 +174,90 @@
         on a backend although the client never sent it. Such a client gets an error or a closed connection,
         never a response that suggests its request ran.
         """
-        if not self.is_request_complete:
+        if not data:  # aiohttp resumes its parser
+            super().data_received(data)
+        elif not self.is_request_open:
+            self._receive_head(data)
+        elif not self.is_request_complete:
             super().data_received(data)
-            if self._messages:
-                self.connections.mark_active(self)
-            elif not self.is_busy and self.head_started_at is None:
-                self.head_started_at = self._loop.time()
-            self._limit_head(len(data))
         elif self.response_timeout is None:  # a response is being forwarded or written
             self.force_close()
         elif not self.response_timeout.expired():
             self.response_timeout.reschedule(self._loop.time())
 
-    def _limit_head(self, size: int) -> None:
-        """Reject a head of which more than ``MAX_HEAD_BYTES`` have come, ``size`` of them just now."""
-        if self not in self.connections.idle:  # a complete head has been received
-            self._head_bytes = 0
-            return
-        self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES and self.transport is not None:
-            self.connections.remove(self)
-            self.transport.write(HEAD_TOO_LONG)
+    def _receive_head(self, data: bytes) -> None:
+        """Collect the head, and open its request once it is complete."""
+        if self.head_started_at is None:
+            self.head_started_at = self._loop.time()
+        state = self._head.feed(data)
+        if state is HeadState.TOO_LONG:
+            self._reject(HEAD_TOO_LONG)
+        elif state is HeadState.UNREADABLE:
+            self._reject(HEAD_UNREADABLE)
+        elif not self._reserve_head():
+            self._reject(TOO_MANY_REQUESTS_OPEN)
+        elif state is HeadState.COMPLETE:
+            self._open_request()
+
+    def _reserve_head(self) -> bool:
+        """Reserve memory for a long head, or for what has been read behind a head; return whether it is."""
+        wanted = max(0, len(self._head) - FREE_HEAD_BYTES) - self._head_memory
+        if wanted > 0:
+            if not self.connections.heads.reserve(wanted):
+                return False
+            self._head_memory += wanted
+        return True
+
+    def _free_head(self) -> None:
+        self.connections.heads.release(self._head_memory)
+        self._head_memory = 0
+
+    def _open_request(self) -> None:
+        """Pass the request on to the parser, now or when there is memory for it."""
+        self.connections.mark_active(self)
+        self._received_at = self._loop.time()
+        self._body_kind = self._head.body_kind()
+        match self.connections.open_requests.open(self, self._body_kind):
+            case OpenResult.OPEN:
+                self.pass_request_on()
+            case OpenResult.REJECTED:
+                self._reject_unopened()
+            case OpenResult.WAITING:
+                assert self._inner
+                self._inner.pause_reading()
+                self._open_timer = self._loop.call_later(MAX_OPEN_WAIT, self._reject_unopened)
+
+    def pass_request_on(self) -> None:
+        """Have the parser read the head; the request counts as open from now on."""
+        self.open_wait = self._loop.time() - self._received_at
+        if self._open_timer:
+            assert self._inner
+            self._cancel_open_timer()
+            self._inner.resume_reading()
+        self.is_request_open = True
+        if self._inner and self._body_kind is not BodyKind.NONE:
+            limit_read_size(self._inner, CLIENT_READ_BYTES)
+        head = self._head.take()
+        self._free_head()
+        super().data_received(head)
+
+    def _reject_unopened(self) -> None:
+        self._open_timer = None
+        self.connections.on_rejected(self._head.class_name())
+        self._reject(TOO_MANY_REQUESTS_OPEN)
+
+    def _cancel_open_timer(self) -> None:
+        if self._open_timer:
+            self._open_timer.cancel()
+            self._open_timer = None
+
+    def _reject(self, response: bytes) -> None:
+        """Answer a request that was never opened, and close the connection."""
+        self.connections.remove(self)
+        self._head.take()
+        self._free_head()
+        if self.transport is not None:
+            self.transport.write(response)
             self.force_close()
 
     def has_pipelined_messages(self) -> bool:
@@ -201,8 +284,12 @@
         self._free_answer()
         self.is_busy = False
         self.is_request_complete = False
-        if self.transport is not None:
+        self.is_request_open = False
+        if self.transport is not None and self._inner:
+            if self._body_kind is not BodyKind.NONE:
+                limit_read_size(self._inner, HEAD_READ_BYTES)
             self.connections.idle[self] = self._loop.time()
+        self.connections.end_request(self)
 
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
@@ -244,6 +331,8 @@
         remaining = 0.0
         if self.head_started_at is not None:
             remaining = self.head_started_at + HEAD_TIMEOUT - self._loop.time()
+        if self._open_timer:  # its request has been read, and is opened or answered soon
+            remaining = max(remaining, MAX_OPEN_WAIT)
         if remaining <= 0 and not self._idle_extension_used and self.has_unread():
             self._idle_extension_used = True
             remaining = READ_DELAY
--- a/cleatyoke/http/client_connections.py
+++ b/cleatyoke/http/client_connections.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from cleatyoke.http.open_requests import OpenRequests
+from cleatyoke.http.request_head import BodyKind
+from cleatyoke.limits.memory_budget import MemoryBudget
+from cleatyoke.limits.memory_pool import MemoryPool
+
 if TYPE_CHECKING:
     from cleatyoke.http.client_connection import ClientConnection
     from cleatyoke.transport.closing import ClosingTransport
 
 MIN_EVICTION_AGE = 0.03  # seconds for which a connection must be idle or closing before it may be evicted
+MIN_SILENT_AGE = 0.15  # the same for one that never sent anything: its client may be busy
+MAX_LINGERING_CLIENTS = 4  # that may send the rest of a long rejected body: reading it takes processor time
 SLOW_HEAD_AGE = 0.6  # seconds after which a connection with an incomplete head may be evicted
 RESPONSE_READ_TIME = 0.1  # seconds assumed for a client to read a response after it was written: many round
 # trips, as no setting defines it
@@ -19,17 +27,29 @@
 class ClientConnections:
     """The open connections by state. Times are loop times in seconds.
 
-    At most ``max_clients`` connections are open, those being closed included. Without this limit a flood of
-    connections would use up the file descriptors that backend connections, discovery and the log need, and
-    accepted requests would fail.
+    At most ``memory.clients`` connections are open, those being closed included. Without this limit a flood
+    of connections would use up the memory, or the file descriptors that backend connections, discovery and
+    the log need, and accepted requests would fail. ``open_requests`` limits the requests that are open on
+    them, and ``heads`` is the memory that long heads share. ``on_rejected`` is called with the class of a
+    request that is rejected before it is open.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, max_clients: int) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, memory: MemoryBudget) -> None:
         self._loop = loop
-        self.max_clients = max_clients
+        self.max_clients = memory.clients
+        self.heads = MemoryPool(memory.heads)
+        self.open_requests: OpenRequests[ClientConnection] = OpenRequests(
+            {
+                BodyKind.NONE: memory.open_requests,
+                BodyKind.SHORT: memory.open_short_bodies,
+                BodyKind.LONG: memory.open_long_bodies,
+            }
+        )
+        self.on_rejected: Callable[[str], None] = lambda _class_name: None
         self.clients: set[ClientConnection] = set()
         self.silent: dict[ClientConnection, None] = {}  # no request received yet, the oldest first
         self.idle: dict[ClientConnection, float] = {}  # no request being served: since when, longest first
+        self._lingering: set[ClosingTransport] = set()  # closing ones that may go on sending for longer
         self.closing: dict[ClosingTransport, float] = {}  # responded to, in graceful close: since when
 
     def add(self, client: ClientConnection) -> None:
@@ -46,14 +66,25 @@
         """Remove a connection that has ended or is being closed."""
         self.clients.discard(client)
         self.mark_active(client)
+        self.end_request(client)
+
+    def end_request(self, client: ClientConnection) -> None:
+        """Forget the request of a connection, and open the requests that wait for its memory."""
+        self.open_requests.end(client)
+        while (waiting := self.open_requests.open_next()) is not None:
+            waiting.pass_request_on()
 
     def add_closing(self, transport: ClosingTransport) -> None:
         """Add a transport whose graceful close begins."""
         self.closing[transport] = self._loop.time()
+        if len(self._lingering) < MAX_LINGERING_CLIENTS:
+            self._lingering.add(transport)
+            transport.may_linger = True
 
     def remove_closing(self, transport: ClosingTransport) -> None:
         """Remove a transport whose descriptor has been freed."""
         self.closing.pop(transport, None)
+        self._lingering.discard(transport)
 
     def has_capacity(self) -> bool:
         """Return whether one more connection may be accepted; at the limit, try to evict one.
@@ -76,9 +107,11 @@
         return False
 
     def _evict_idle(self) -> bool:
-        not_after = self._loop.time() - MIN_EVICTION_AGE
+        now = self._loop.time()
         for client in [*self.silent, *self.idle]:
-            if self.idle.get(client, client.opened_at) <= not_after and client.is_evictable():
+            age = now - self.idle.get(client, client.opened_at)
+            min_age = MIN_SILENT_AGE if client in self.silent else MIN_EVICTION_AGE
+            if age >= min_age and client.is_evictable():
                 client.evict()
                 return True
         return False
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -44,7 +44,7 @@
 METHODS = ("GET", "PUT")
 IDLE_CHECK_INTERVAL = 0.05  # seconds between checks for idle connections during a drain or a shutdown
 CLOSE_POLL_INTERVAL = 0.02  # seconds between checks whether the last response has been read
-MEMORY_LOG_INTERVAL = 1.0  # seconds between log lines on bodies that were rejected for lack of memory
+MEMORY_LOG_INTERVAL = 1.0  # seconds between log lines on requests that were rejected for lack of memory
 _UNACCEPTABLE_REQUEST = (
     TimeoutError,
     BodyTooLongError,
@@ -82,14 +82,16 @@
         )
         self.answers = MemoryPool(config.memory.answers)
         backends.answers = self.answers  # its connections and the server hold parts of the same answers
+        backends.response_read_bytes = memory.response_read_bytes
         self.metrics.held_bytes["answers"] = lambda: self.answers.used
         self.metrics.held_bytes["bodies"] = lambda: self.body_memory.held_bytes()
-        self.connections = ClientConnections(core.loop, config.socket_budget.clients)
+        self.connections = ClientConnections(core.loop, memory)
+        self.connections.on_rejected = self._count_rejected
         self.trace_ids = TraceIds()
         self.is_closing = False
         self.listener: Listener | None = None
         self.address = config.listen
-        self._memory_logged_at = -MEMORY_LOG_INTERVAL  # loop time
+        self._logged_at: dict[str, float] = {}  # loop time by event
         self._responses_due_at: float | None = None  # Unix time, during a shutdown
         self._idle_check_timer: asyncio.TimerHandle | None = None
         self._manager = web.Server(
@@ -128,9 +130,8 @@
         retry storm, reconnecting would take the capacity that the responses need.
         """
         # One more, as this connection becomes idle too.
-        over_idle_limit = (
-            self.connections.count_served_idle() + 1 > self.config.socket_budget.max_idle_clients
-        )
+        max_idle = min(self.config.socket_budget.max_idle_clients, self.config.memory.idle_clients)
+        over_idle_limit = self.connections.count_served_idle() + 1 > max_idle
         is_draining = self.is_closing or self.drain.draining
         return (
             over_idle_limit or is_draining or not request.content.is_eof() or client.has_pipelined_messages()
@@ -217,10 +218,12 @@
             if request.headers.get("Expect"):  # RFC 9110, section 10.1.1
                 await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 request.writer.output_size = 0  # it is not part of the final response
-            reader = BodyReader(request.content, self.body_memory, client, decoded.max_wait)
+            reader = BodyReader(request.content, self.body_memory, client, decoded.max_wait, client.open_wait)
             body = await reader.read(request.content_length)
             decoded.body = body.pieces
             decoded.max_wait -= body.lag  # the client may have written its last byte that long ago
+        else:
+            decoded.max_wait -= client.open_wait
         if decoded.body and decoded.method == "GET":
             msg = "Content-Length: a read has no body"
             raise MessageError(msg)
@@ -278,14 +281,26 @@
             case Failed():
                 return web.Response(status=502)
 
+    def _count_rejected(self, class_name: str) -> None:
+        """Count and log a request that was rejected before it was open."""
+        if class_name in self.config.classes:
+            self.metrics.count_answer(class_name, 503)
+        if self._may_log("request_not_opened"):
+            requests = self.connections.open_requests
+            log.warning("request_not_opened", open=len(requests), waiting=requests.waiting_count)
+
     def _log_lack_of_memory(self) -> None:
-        """Log that a body got no memory, at most once in ``MEMORY_LOG_INTERVAL``."""
+        if self._may_log("body_memory_exhausted"):
+            held, waiting = self.body_memory.held_bytes(), len(self.body_memory.waiting)
+            log.warning("body_memory_exhausted", held=held, waiting=waiting)
+
+    def _may_log(self, event: str) -> bool:
+        """Return whether to log an event that may be frequent: at most once in ``MEMORY_LOG_INTERVAL``."""
         now = self.core.loop.time()
-        if now - self._memory_logged_at < MEMORY_LOG_INTERVAL:
-            return
-        self._memory_logged_at = now
-        held, waiting = self.body_memory.held_bytes(), len(self.body_memory.waiting)
-        log.warning("body_memory_exhausted", held=held, waiting=waiting)
+        if now - self._logged_at.get(event, -MEMORY_LOG_INTERVAL) < MEMORY_LOG_INTERVAL:
+            return False
+        self._logged_at[event] = now
+        return True
 
     # Drain and shutdown.
 
--- a/cleatyoke/limits/memory_pool.py
+++ b/cleatyoke/limits/memory_pool.py
@@ -17,9 +17,9 @@
         """Whether nothing is free."""
         return self.used >= self.total
 
-    def reserve(self, size: int) -> bool:
-        """Reserve ``size`` bytes; False if fewer are free."""
-        if self.used + size > self.total:
+    def reserve(self, size: int, headroom: int = 0) -> bool:
+        """Reserve ``size`` bytes; False if fewer than these and ``headroom`` are free."""
+        if self.used + size + headroom > self.total:
             return False
         self.used += size
         return True
--- a/cleatyoke/process/daemon.py
+++ b/cleatyoke/process/daemon.py
@@ -22,6 +22,7 @@
 from cleatyoke.discovery.listings import read_endpoint_list
 from cleatyoke.http.backends import BackendPools
 from cleatyoke.http.server import HttpServer
+from cleatyoke.limits.memory_budget import MEBIBYTE
 from cleatyoke.process import optional_parts
 from cleatyoke.process.faults import Faults
 from cleatyoke.process.file_service import FileService
@@ -67,7 +68,7 @@
             self.directory,
             config.connect_timeout,
             config.idle_timeout,
-            config.socket_budget.backends,
+            min(config.socket_budget.backends, config.memory.open_requests),  # each uses one at most
             self.metrics,
         )
         self.hold_file = HoldFile(config.state_dir, self.directory, self.core, self.faults)
@@ -117,6 +118,7 @@
         If a shutdown is requested while the start waits for the fleet, returns without opening a listener.
         """
         config = self.config
+        self._log_memory_budget()
         if config.settings.load_by_probes:
             self.probes = optional_parts.start_load_probes(self)
         self._apply_cached_endpoints()
@@ -139,6 +141,25 @@
         self.hold_file.start()
         self.siblings.start(self.core.notify)
 
+    def _log_memory_budget(self) -> None:
+        """Log how the memory is divided, as a warning if the limit cannot be kept with the least shares."""
+        budget, limit_mb = self.config.memory, self.config.memory_mb
+        if not limit_mb:
+            return
+        total_mb = round(budget.total_bytes() / MEBIBYTE, 1)
+        fields = {
+            "limit_mb": limit_mb,
+            "total_mb": total_mb,
+            "process_mb": round(budget.process / MEBIBYTE, 1),
+            "clients": budget.clients,
+            "open_requests": budget.open_requests,
+            "max_upload": budget.max_upload,
+        }
+        if total_mb > limit_mb:
+            log.warning("memory_limit_too_low", **fields)
+        else:
+            log.info("memory_divided", **fields)
+
     def _apply_cached_endpoints(self) -> None:
         if not self.config.cached_endpoints:
             return
--- a/cleatyoke/process/file_service.py
+++ b/cleatyoke/process/file_service.py
@@ -32,7 +32,7 @@
         from cleatyoke.vrrp.carrier import VrrpCarrier
 
         settings = config.sftp
-        sessions = config.socket_budget.file_sessions
+        sessions = config.memory.file_sessions
         backends = SftpBackends(
             directory, settings.backend_port, config.connect_timeout, config.idle_timeout, sessions
         )
--- a/cleatyoke/transport/closing.py
+++ b/cleatyoke/transport/closing.py
@@ -6,11 +6,19 @@
 from collections.abc import Callable
 from typing import Any
 
+from cleatyoke.transport.sockets import limit_read_size
+
 # Seconds for which the peer is still read after the sending side was shut down: many round trips, as no
 # setting defines how long a client takes to read a response it has received.
 CLOSE_TIMEOUT = 1.0
 MAX_DISCARDED_BYTES = 1 << 20  # read and discarded in that time: more than the kernel buffers in transit
-MAX_CLOSE_CHECKS = 10  # times ``CLOSE_TIMEOUT`` for a peer that does not read what was written
+# The same if the transport may linger: the longest request body of the operations page, and what is in
+# transit. A client that is still sending a body which was rejected may read the answer only afterwards.
+MAX_LINGERING_BYTES = 36 << 20
+DISCARDED_READ_BYTES = 64 << 10  # at once
+MAX_CLOSE_CHECKS = (
+    10  # times ``CLOSE_TIMEOUT`` for a peer that does not read what was written, or still sends
+)
 
 
 class ClosingTransport(asyncio.Transport):
@@ -20,7 +28,8 @@
     what the peer has not read of the response: the client sees a connection reset in place of it. Therefore
     ``close`` writes what is buffered, shuts down the sending side, and reads and discards further bytes until
     the peer closes too, for at most ``MAX_DISCARDED_BYTES`` and ``CLOSE_TIMEOUT`` seconds, repeated up to
-    ``MAX_CLOSE_CHECKS`` times while written data is not flushed.
+    ``MAX_CLOSE_CHECKS`` times while written data is not flushed. If ``may_linger`` is set by ``on_closing``,
+    a peer that goes on sending has as much time, and ``MAX_LINGERING_BYTES``.
 
     The protocol's ``connection_lost`` is scheduled at once, and it receives no more data. ``on_closing`` is
     called when the close begins, ``on_closed`` once the descriptor is free.
@@ -39,15 +48,17 @@
         self.on_closing = on_closing
         self.on_closed = on_closed
         self.is_shut_down = False
+        self.may_linger = False
 
     def close(self) -> None:
         """Begin the graceful close; further calls have no effect."""
         if self.is_shut_down or self.inner.is_closing():
             return
         self.is_shut_down = True
+        self.on_closing(self)
+        limit_read_size(self.inner, DISCARDED_READ_BYTES)
         self.inner.set_protocol(_DiscardingProtocol(self))
         asyncio.get_running_loop().call_soon(self.protocol.connection_lost, None)
-        self.on_closing(self)
         try:
             self.inner.resume_reading()
             self.inner.write_eof()
@@ -131,20 +142,24 @@
 
     def __init__(self, transport: ClosingTransport) -> None:
         self.transport = transport
-        self.bytes_left = MAX_DISCARDED_BYTES
+        self.bytes_left = MAX_LINGERING_BYTES if transport.may_linger else MAX_DISCARDED_BYTES
+        self.has_received = False  # since the last check
         self.checks = 0
         self.loop = asyncio.get_running_loop()
         self.timer = self.loop.call_later(CLOSE_TIMEOUT, self._check)
 
     def _check(self) -> None:
-        """Abort the connection once written data is flushed, or after ``MAX_CLOSE_CHECKS`` checks."""
+        """Abort the connection of a peer that is idle, or after ``MAX_CLOSE_CHECKS`` checks."""
         self.checks += 1
-        if self.transport.is_flushed() or self.checks >= MAX_CLOSE_CHECKS:
+        is_sending = self.transport.may_linger and self.has_received
+        self.has_received = False
+        if (self.transport.is_flushed() and not is_sending) or self.checks >= MAX_CLOSE_CHECKS:
             self.transport.inner.abort()
         else:
             self.timer = self.loop.call_later(CLOSE_TIMEOUT, self._check)
 
     def data_received(self, data: bytes) -> None:
+        self.has_received = True
         self.bytes_left -= len(data)
         if self.bytes_left < 0:
             self.transport.inner.abort()
--- a/tests/recorded/bytes_adapter.py
+++ b/tests/recorded/bytes_adapter.py
@@ -848,6 +848,7 @@
         client_timeouts=[20.0, 20.0, 20.0],
         changes_data=[False, True, True],
         memory=dataclasses.replace(MemoryBudget.divide(0.0, 484, 32), long_bodies=36 << 20),
+        memory_mb=0.0,
         shard_count=9,
         zones={"basement": 0},
         connect_timeout=EXCHANGE_TIMEOUT,
--- a/tests/scripted_peers.py
+++ b/tests/scripted_peers.py
@@ -57,6 +57,7 @@
         client_timeouts=[1.5, 1.5],
         changes_data=[False, True],
         memory=replace(MemoryBudget.divide(0.0, 484, 32), long_bodies=36 << 20),
+        memory_mb=0.0,
         shard_count=9,
         zones={"basement": 0},
         connect_timeout=0.25,
--- a/tests/test_connection_close.py
+++ b/tests/test_connection_close.py
@@ -73,8 +73,20 @@
             received = await streams[0].read()
         assert received[9:12] == b"413"
 
+    async def test_rejected_upload_of_megabytes_gets_its_status_after_it_is_sent(self) -> None:
+        # After 1 MB of a rejected body the connection was reset, and the client never saw the 413.
+        _, streams = await self.connect_client(answer_at_once)
+        head = self.request_head("t", "Content-Length: 60000000", method="PUT")
+        streams[1].write(head.replace(b"tile-read", b"record-write"))
+        async with asyncio.timeout(5):
+            for _ in range(128):
+                streams[1].write(bytes(65_536))
+                await streams[1].drain()
+            assert (await streams[0].read())[9:12] == b"413"
+
     async def expect_abort(self, trailing: bytes, close_timeout: float) -> None:
-        with mock.patch.multiple(closing_module, CLOSE_TIMEOUT=close_timeout, MAX_DISCARDED_BYTES=1 << 16):
+        limits = {"MAX_DISCARDED_BYTES": 1 << 16, "MAX_LINGERING_BYTES": 1 << 16}
+        with mock.patch.multiple(closing_module, CLOSE_TIMEOUT=close_timeout, **limits):
             _, streams = await self.connect_client(answer_at_once, self.request_head("t"))
             self.front.is_closing = True
             await self.wait_until(lambda: self.front.connections.closing)
