Bound the records of volumes in number, without forgetting what their rate limits owe

Cause: SchedulerState.volumes was bounded by time alone, 60 s; class: state keyed by what a client names. Failures by item had no bound in number either, and empty queues of ordered items stayed for a second. Change: VolumeTable keeps as many as the memory budget gives. A new one replaces one of the least recently used whose buckets are full again; else new volumes share a record for each plan, which together gets what one may have. Failures have the same bound. Why it works: a record whose buckets are full allows no more than a new one, so no limit is exceeded by forgetting it.

--- a/cleatyoke/config/deployment.py
+++ b/cleatyoke/config/deployment.py
@@ -8,7 +8,7 @@
 
 import json
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -218,6 +218,12 @@
     socket_budget = SocketBudget.divide(sockets, fronts.sftp is not None)
     memory_mb = root.table("limits", {}).number("memory_mb", 0.0)
     front_settings = read_front_settings(settings_table)
+    memory = MemoryBudget.divide(
+        memory_mb,
+        socket_budget.clients,
+        socket_budget.file_sessions,
+        process_bytes or DEFAULT_PROCESS_BYTES,
+    )
     return Config(
         name=name,
         listen=listen,
@@ -226,16 +232,11 @@
         seed=seed,
         socket_budget=socket_budget,
         cached_endpoints=cached_endpoints,
-        settings=scheduler_settings,
+        settings=replace(scheduler_settings, max_volumes=memory.volumes),
         classes=class_and_plan_indexes.classes,
         plans=class_and_plan_indexes.plans,
         client_timeouts=front_settings.client_timeouts,
-        memory=MemoryBudget.divide(
-            memory_mb,
-            socket_budget.clients,
-            socket_budget.file_sessions,
-            process_bytes or DEFAULT_PROCESS_BYTES,
-        ),
+        memory=memory,
         memory_mb=memory_mb,
         changes_data=front_settings.changes_data,
         shard_count=front_settings.shard_count,
--- a/cleatyoke/config/reload.py
+++ b/cleatyoke/config/reload.py
@@ -69,6 +69,7 @@
         idle_since=old.idle_since,
         initial_quota_share=old.initial_quota_share,
         replaces_process=old.replaces_process,
+        max_volumes=old.max_volumes,
     )
 
 
--- a/cleatyoke/limits/memory_budget.py
+++ b/cleatyoke/limits/memory_budget.py
@@ -18,6 +18,7 @@
 
 HEAD_READ_BYTES = 4 * KIBIBYTE  # most that is read at once from a client without an open request
 CLIENT_READ_BYTES = 16 * KIBIBYTE  # most that is read of a body at once
+VOLUME_BYTES = 2 * KIBIBYTE  # a volume's record in the scheduler, with buckets for a dozen nodes
 FREE_HEAD_BYTES = 1 * KIBIBYTE  # of each head: not part of ``MemoryBudget.heads``
 # The answers of slow clients are forwarded in pieces of this size; each open request has the memory for one.
 MIN_PIECE_BYTES = 4 * KIBIBYTE
@@ -41,10 +42,12 @@
 FILE_SESSION_BYTES = 512 * KIBIBYTE
 
 # Of what the limit leaves beside the process:
-_CONNECTIONS_FRACTION = 0.26
-_OPEN_REQUESTS_FRACTION = 0.33
+_CONNECTIONS_FRACTION = 0.24
+_OPEN_REQUESTS_FRACTION = 0.31
 _LONG_BODY_READS_FRACTION = 0.08
 _RESPONSE_READS_FRACTION = 0.1
+_VOLUMES_FRACTION = 0.05
+_MAX_VOLUMES = 16 * 1024
 _FILE_SESSIONS_FRACTION = 0.15
 # Of the rest, but less where the longest upload would not fit beside them:
 _HEADS_FRACTION = 1 / 12
@@ -60,6 +63,7 @@
 _MIN_CONNECTIONS = 64
 _MIN_OPEN_REQUESTS = 16
 _MIN_OPEN_BODIES = 2
+_MIN_VOLUMES = 64
 _MIN_SHARE_BYTES = 72 * KIBIBYTE
 _MIN_LONG_BODIES_BYTES = 224 * KIBIBYTE
 _UNLIMITED_SHARE_BYTES = 32 * MEBIBYTE  # if no limit is configured
@@ -77,6 +81,7 @@
     open_long_bodies: int  # those of them with a long body, or one of unknown length
     file_sessions: int
     response_read_bytes: int  # most that is read at once of an answer that is not streamed yet
+    volumes: int  # records of volumes that the scheduler keeps
     heads: int  # request heads beyond ``FREE_HEAD_BYTES`` each, and what has been read behind them
     short_bodies: int  # the first ``UNRESERVED_BYTES`` of each request body
     long_bodies: int  # what request bodies hold beyond that
@@ -94,6 +99,7 @@
             + self.open_short_bodies * OPEN_SHORT_BODY_BYTES
             + self.open_long_bodies * OPEN_LONG_BODY_BYTES
             + self.file_sessions * FILE_SESSION_BYTES
+            + self.volumes * VOLUME_BYTES
         )
 
     def total_bytes(self) -> int:
@@ -161,6 +167,7 @@
             open_long_bodies=min(short_bodies, most_bodies),
             file_sessions=min(file_sessions, most_sessions),
             response_read_bytes=max(MIN_PIECE_BYTES, min(MAX_UNSTREAMED_BYTES, reads)),
+            volumes=min(_MAX_VOLUMES, _count(room * _VOLUMES_FRACTION, VOLUME_BYTES, _MIN_VOLUMES)),
             heads=0,
             short_bodies=0,
             long_bodies=0,
@@ -181,6 +188,7 @@
             open_long_bodies=clients,
             file_sessions=file_sessions,
             response_read_bytes=MAX_UNSTREAMED_BYTES,
+            volumes=_MAX_VOLUMES,
             heads=_UNLIMITED_SHARE_BYTES,
             short_bodies=clients * UNRESERVED_BYTES,
             long_bodies=MAX_UPLOAD_BYTES + 4 * _MIN_UPLOAD_HEADROOM,
--- a/cleatyoke/scheduling/admission.py
+++ b/cleatyoke/scheduling/admission.py
@@ -16,6 +16,7 @@
 USAGE_TIME_CONSTANT = 1.0  # seconds; time constant of the mean of a volume's use through other fronts
 SLACK_FRACTION = 0.5  # part of a limit's configured slack that fronts may use directly after their start
 MIN_MULTIPLIER = 1e-9  # lower bound of a lease multiplier, to avoid a division by zero
+RESERVE_FILL_TIME = 2.0  # seconds in which an emptied reserve is nearly full: it holds a second's rate
 ASSUMED_IDLE_TIME = RETENTION / 2  # seconds for which a volume is assumed idle before its first use here
 
 
@@ -50,20 +51,32 @@
                 if any(request.volume is volume for request in queue):
                     state.offer(shard)
 
-    def add_volume(self, volume_id: int, plan: VolumePlan, front_count: int, reserve: TokenBucket) -> Volume:
-        """Add a volume on its first use, with the token bucket of its rate limit."""
+    def new_volume(self, volume_id: int, plan: VolumePlan, front_count: int, reserve: TokenBucket) -> Volume:
+        """Return the record of a volume for its first use, with the token bucket of its rate limit."""
         state = self._state
         filled_at = max(0.0, state.quota_clock.time(state.now) - ASSUMED_IDLE_TIME)
         slack = 0.0 if state.settings.replaces_process else plan.rate_limit_slack * SLACK_FRACTION
         bucket = TokenBucket(slack / front_count, filled_at)
-        volume = Volume(reserve, bucket, self._multipliers.initial_multiplier(volume_id))
-        state.volumes[volume_id] = volume
-        return volume
+        return Volume(reserve, bucket, self._multipliers.initial_multiplier(volume_id))
 
     def draw(self, request: Request) -> None:
         """Take the units of a request from the bucket when it is first sent."""
-        if not request.attempts:
-            request.volume.rate_limit.level -= request.units
+        if request.attempts:
+            return
+        volume = request.volume
+        volume.rate_limit.level -= request.units
+        volume.replaceable_at = max(volume.replaceable_at, self._full_at(request))
+
+    def _full_at(self, request: Request) -> float:
+        """Return when the bucket of the request's volume will be full if nothing more is sent."""
+        state, volume = self._state, request.volume
+        plan = state.settings.plans[request.arrival.plan_index]
+        if not plan.rate_limit:
+            return state.now
+        fraction = state.quota_clock.fraction * min(1.0, volume.lease_clock.fraction)
+        rate = plan.rate_limit / request.front_count * max(fraction, MIN_MULTIPLIER)
+        missing = plan.rate_limit_burst / request.front_count - volume.rate_limit.level
+        return state.now + max(0.0, missing) / rate
 
     def check(self, request: Request) -> Verdict:
         """Return when the limit allows the request's first attempt; retries are not counted."""
@@ -115,10 +128,11 @@
         plan = state.settings.plans[event.plan_index]
         rate = self.local_share(event.volume_id, plan.reserved_rate, front_count)
         ceiling = rate + state.settings.max_request_units if rate else 0.0
-        volume = state.volumes.get(event.volume_id)
-        if volume is None:
-            reserve = TokenBucket(ceiling, state.now)
-            volume = limits.add_volume(event.volume_id, plan, front_count, reserve)
+
+        def make() -> Volume:
+            return limits.new_volume(event.volume_id, plan, front_count, TokenBucket(ceiling, state.now))
+
+        volume = state.volume_table.use(event.volume_id, event.plan_index, state.now, make)
         volume.reserve.fill(rate, ceiling, state.now)
         return volume
 
@@ -127,6 +141,7 @@
         state, volume = self._state, request.volume
         units = min(volume.reserve.level, request.units)
         volume.reserve.level -= units
+        volume.replaceable_at = max(volume.replaceable_at, state.now + RESERVE_FILL_TIME)
         volume.reserved_left[int(state.now)] += units
         counted = state.table.reserved_units
         counted[request.shard] = counted.get(request.shard, 0.0) + units
--- a/cleatyoke/scheduling/ordering.py
+++ b/cleatyoke/scheduling/ordering.py
@@ -34,6 +34,8 @@
         if request not in queue:  # an exception was raised before it was added
             return
         queue.remove(request)
+        if not queue:
+            del self.open_requests[request.order_key]
         for follower in queue[:1]:
             self._state.offer(follower.shard)
 
@@ -53,7 +55,6 @@
         return ALLOWED if paused_until <= self._state.now else Verdict(paused_until, Rule.KEY_ORDER)
 
     def forget_idle(self) -> None:
-        """Drop keys without open requests, and expired pauses."""
-        self.open_requests = {key: queue for key, queue in self.open_requests.items() if queue}
+        """Drop expired pauses."""
         now = self._state.now
         self.paused_until = {key: ends_at for key, ends_at in self.paused_until.items() if ends_at > now}
--- a/cleatyoke/scheduling/records.py
+++ b/cleatyoke/scheduling/records.py
@@ -150,7 +150,16 @@
 class Volume:
     """The front's share of a volume's reserved rate and rate limit."""
 
-    __slots__ = ("lease_clock", "rate_limit", "reserve", "reserved_left", "surplus", "used_by_others")
+    __slots__ = (
+        "lease_clock",
+        "open_requests",
+        "rate_limit",
+        "replaceable_at",
+        "reserve",
+        "reserved_left",
+        "surplus",
+        "used_by_others",
+    )
 
     def __init__(self, reserve: TokenBucket, rate_limit: TokenBucket, multiplier: float = 1.0) -> None:
         """``multiplier``: see ``QuotaLeaseMultipliers``; it also applies to the time before the first use."""
@@ -158,6 +167,8 @@
         self.rate_limit = rate_limit
         self.lease_clock = QuotaClock(multiplier, rate_limit.filled_at)  # fills ``rate_limit``
         self.lease_clock.virtual_time = rate_limit.filled_at
+        self.open_requests = 0
+        self.replaceable_at = 0.0  # when a new record would allow no more than this one
         self.used_by_others: dict[int | None, RateByOthers] = {}  # by shard
         # By second of arrival: units within the reserve that have not been served yet.
         self.reserved_left: defaultdict[int, float] = defaultdict(float)
--- a/cleatyoke/scheduling/request_lifecycle.py
+++ b/cleatyoke/scheduling/request_lifecycle.py
@@ -24,8 +24,12 @@
 
     def record(self, request: Request) -> None:
         """Record a request that is closed now without having been served."""
-        if request.arrival.item is not None:
-            self.by_identity[request.identity] = request.arrived_at, self._state.now
+        if request.arrival.item is None:
+            return
+        self.by_identity.pop(request.identity, None)
+        if len(self.by_identity) >= self._state.settings.max_volumes:
+            del self.by_identity[next(iter(self.by_identity))]  # the oldest
+        self.by_identity[request.identity] = request.arrived_at, self._state.now
 
     def inherit_arrival(self, request: Request) -> bool:
         """Give a retry the arrival time of its first request; return whether the request is a retry."""
@@ -63,6 +67,7 @@
         request_class = state.settings.classes[event.class_index]
         request = Request(event, request_class, front_count, volume, state.now)
         state.requests[request.id] = request
+        volume.open_requests += 1
         if not self.recent_failures.inherit_arrival(request):
             rules.reserves.draw(request)
         full_value_until = request.arrived_at + request_class.latency_objective
@@ -92,4 +97,5 @@
         """Remove a request that is closed and has nothing in flight."""
         if request.is_closed and not request.in_flight and request.id in self._state.requests:
             del self._state.requests[request.id]
+            request.volume.open_requests -= 1
             self._rules.ordering.remove(request)
--- a/cleatyoke/scheduling/settings.py
+++ b/cleatyoke/scheduling/settings.py
@@ -103,7 +103,7 @@
     this process may use at its start, see ``QuotaShareChanged``. ``replaces_process``: an older process of
     this front is still running when this one starts, and uses the limits' slack. ``max_retry_after``: longest
     Retry-After that clients respect, 0 if none is sent. ``load_by_probes``: nodes report their load only to
-    probes, see ``load_probes``.
+    probes, see ``load_probes``. ``max_volumes``: volumes of which records are kept at once.
     """
 
     classes: list[RequestClass]
@@ -124,3 +124,4 @@
     replaces_process: bool = False
     max_retry_after: float = 0.0
     load_by_probes: bool = False
+    max_volumes: int = 16_384
--- a/cleatyoke/scheduling/state.py
+++ b/cleatyoke/scheduling/state.py
@@ -10,6 +10,7 @@
 from cleatyoke.scheduling.records import Node, Request, Volume
 from cleatyoke.scheduling.settings import SchedulerSettings
 from cleatyoke.scheduling.timers import TimerQueue
+from cleatyoke.scheduling.volume_table import VolumeTable
 
 CONTROL_INTERVAL = 1.0  # seconds between control rounds; the paper's two seconds lag behind a surge
 SEND_MARGIN = 0.04  # seconds left before a deadline or the end of an idempotency window, for timers and sends
@@ -35,7 +36,7 @@
         self.table = NodeTable(len(settings.classes), settings.seed)
         self.requests: dict[str, Request] = {}
         self.queues: dict[Shard, list[Request]] = {}
-        self.volumes: dict[int, Volume] = {}
+        self.volume_table = VolumeTable(settings.max_volumes)
         self.timers = TimerQueue()
         self.nodes_to_offer: dict[int, Node] = {}
         self.to_review: list[Request] = []
@@ -45,6 +46,11 @@
         self.quota_clock = QuotaClock(settings.initial_quota_share, 0.0)
         self.apply_settings(settings)
 
+    @property
+    def volumes(self) -> dict[int, Volume]:
+        """Recently used volumes by id."""
+        return self.volume_table.by_id
+
     def start(self) -> None:
         """Start with the first step; quotas have accrued since this front last sent anything."""
         now = self.now
@@ -102,11 +108,7 @@
         ``oldest``: arrival time (seconds) of the oldest request that can still matter.
         """
         idle_since = self.now - RETENTION
-        self.volumes = {
-            volume_id: volume
-            for volume_id, volume in self.volumes.items()
-            if volume.reserve.filled_at > idle_since
-        }
+        self.volume_table.retain(lambda volume: volume.reserve.filled_at > idle_since)
         forgotten = self.table.forget_idle(idle_since)
-        for volume in self.volumes.values():
+        for volume in self.volume_table.all_records():
             volume.forget(oldest, forgotten)
