Remember ids of sent requests after their clients left, and across an upgrade

Cause: TraceIds kept an id for 2 s after the answer, whatever had become of it, and knew of one process only; the set had no bound in number. Change: the id is added to a table of fixed size directly before the request's first byte goes to a backend; where the platform holds the listening socket, also to one in a file that both processes share. An id that was never sent is free again. Why it works: what may have run is known from the moment it may, for as long as there is memory (1,024 to 32,768 ids).

--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -87,7 +87,9 @@
         self.metrics.held_bytes["bodies"] = lambda: self.body_memory.held_bytes()
         self.connections = ClientConnections(core.loop, memory)
         self.connections.on_rejected = self._count_rejected
-        self.trace_ids = TraceIds()
+        # Where the platform holds the listening socket, an upgrade's two processes serve the same clients.
+        shared_folder = None if config.accept_fd is None else config.state_dir
+        self.trace_ids = TraceIds(memory.trace_ids, shared_folder)
         self.is_closing = False
         self.listener: Listener | None = None
         self.address = config.listen
@@ -190,7 +192,9 @@
             return web.Response(status=400, text="one request at a time\n")
         client.is_request_complete = True
         arrived_at = self.core.now()  # a request's time limit counts from its last byte
-        if not self.trace_ids.add(decoded.trace_id, arrived_at):
+        if not self.trace_ids.add(decoded.trace_id, self.core.loop.time()):
+            if self._may_log("trace_id_taken"):
+                log.info("trace_id_taken", trace=decoded.trace_id)
             return web.Response(status=400, text="X-Trace-Id: taken\n")
         deadline = arrived_at + decoded.max_wait
         if self._responses_due_at is not None:
@@ -198,7 +202,7 @@
         try:
             return await self._schedule(decoded, deadline, request, client)
         finally:
-            self.trace_ids.expire(decoded.trace_id, self.core.now())
+            self.trace_ids.release(decoded.trace_id)
 
     def _rejection_status(self, request: web.BaseRequest) -> int | None:
         """Return the status with which to reject a request without reading its body, or None."""
@@ -241,9 +245,14 @@
                 may_retry=self.core.may_retry(arrival),
                 on_begun=partial(self.core.note_answer_begun, arrival.request_id),
             )
-            return await self.backends.attempt(
-                node, decoded, wait, lambda: may_begin() and not client.abort_if_client_gone()
-            )
+
+            def may_send() -> bool:
+                if not may_begin() or client.abort_if_client_gone():
+                    return False
+                self.trace_ids.mark_sent(decoded.trace_id, self.core.loop.time())
+                return True
+
+            return await self.backends.attempt(node, decoded, wait, may_send)
 
         arrival = RequestArrived(
             request_id=self.core.new_id(),
--- a/cleatyoke/limits/memory_budget.py
+++ b/cleatyoke/limits/memory_budget.py
@@ -42,12 +42,15 @@
 FILE_SESSION_BYTES = 512 * KIBIBYTE
 
 # Of what the limit leaves beside the process:
-_CONNECTIONS_FRACTION = 0.24
-_OPEN_REQUESTS_FRACTION = 0.31
+_CONNECTIONS_FRACTION = 0.23
+_OPEN_REQUESTS_FRACTION = 0.3
 _LONG_BODY_READS_FRACTION = 0.08
-_RESPONSE_READS_FRACTION = 0.1
+_RESPONSE_READS_FRACTION = 0.08
 _VOLUMES_FRACTION = 0.05
 _MAX_VOLUMES = 16 * 1024
+_TRACE_IDS_FRACTION = 0.015
+_MIN_TRACE_IDS_BYTES = 16 * KIBIBYTE  # 1,024 ids
+_MAX_TRACE_IDS_BYTES = 512 * KIBIBYTE
 _FILE_SESSIONS_FRACTION = 0.15
 # Of the rest, but less where the longest upload would not fit beside them:
 _HEADS_FRACTION = 1 / 12
@@ -82,6 +85,7 @@
     file_sessions: int
     response_read_bytes: int  # most that is read at once of an answer that is not streamed yet
     volumes: int  # records of volumes that the scheduler keeps
+    trace_ids: int  # bytes of the table of sent requests' ids, and of the file that two processes share
     heads: int  # request heads beyond ``FREE_HEAD_BYTES`` each, and what has been read behind them
     short_bodies: int  # the first ``UNRESERVED_BYTES`` of each request body
     long_bodies: int  # what request bodies hold beyond that
@@ -100,6 +104,7 @@
             + self.open_long_bodies * OPEN_LONG_BODY_BYTES
             + self.file_sessions * FILE_SESSION_BYTES
             + self.volumes * VOLUME_BYTES
+            + 2 * self.trace_ids
         )
 
     def total_bytes(self) -> int:
@@ -168,6 +173,7 @@
             file_sessions=min(file_sessions, most_sessions),
             response_read_bytes=max(MIN_PIECE_BYTES, min(MAX_UNSTREAMED_BYTES, reads)),
             volumes=min(_MAX_VOLUMES, _count(room * _VOLUMES_FRACTION, VOLUME_BYTES, _MIN_VOLUMES)),
+            trace_ids=min(_MAX_TRACE_IDS_BYTES, max(_MIN_TRACE_IDS_BYTES, int(room * _TRACE_IDS_FRACTION))),
             heads=0,
             short_bodies=0,
             long_bodies=0,
@@ -189,6 +195,7 @@
             file_sessions=file_sessions,
             response_read_bytes=MAX_UNSTREAMED_BYTES,
             volumes=_MAX_VOLUMES,
+            trace_ids=_MAX_TRACE_IDS_BYTES,
             heads=_UNLIMITED_SHARE_BYTES,
             short_bodies=clients * UNRESERVED_BYTES,
             long_bodies=MAX_UPLOAD_BYTES + 4 * _MIN_UPLOAD_HEADROOM,
--- a/tests/test_http_requests.py
+++ b/tests/test_http_requests.py
@@ -5,6 +5,7 @@
 import asyncio
 from unittest import mock
 
+from cleatyoke.http import trace_ids as trace_ids_module
 from cleatyoke.http.body_limits import BodyMemory
 from tests.http_case import (
     HEADERS,
@@ -112,9 +113,23 @@
         assert (await first)[0] == 200
         assert (await self.send_request("t"))[0] == 400, "an id stays in use shortly after its response"
         assert self.backend.counts["t"] == 1
-        with mock.patch.object(self.core, "unix_offset", self.core.unix_offset + 60):
-            await self.send_request("u")
-        assert self.front.trace_ids.known == {"u"}, "ids must expire"
+        assert not self.front.trace_ids.open
+        with mock.patch.object(trace_ids_module, "ID_RETENTION", 0.0):
+            assert (await self.send_request("t"))[0] == 200, "ids must expire"
+
+    async def test_id_of_a_client_that_left_is_not_sent_again(self) -> None:
+        # An id that came again over 2 s after its client had left ran a second time (issue 50, picture d).
+        await self.start_front(lambda _trace: asyncio.sleep(60))
+        _, writer = await self.connect(self.request_head("t"))
+        await self.wait_until(lambda: self.backend.counts["t"])
+        writer.transport.abort()
+        await self.wait_until(lambda: not self.front.trace_ids.open)
+        now = self.core.loop.time()
+        with mock.patch.object(self.core.loop, "time", return_value=now + 30.0):
+            reader, writer = await self.connect(self.request_head("t"))
+            assert (await reader.readline()).split()[1] == b"400"
+        writer.close()
+        assert self.backend.counts["t"] == 1
 
     async def test_readiness_path_reports_whether_front_is_ready(self) -> None:
         await self.start_front(lambda _trace: asyncio.sleep(60))
