Try again where accept, the hold file or a process marker fails for a moment

Seen (fault tests for the terms on system calls and disks): with ECONNABORTED while the listener closes, all connections behind it in the backlog were reset; a hold that met ENOSPC never reached the other process of an upgrade; a marker that met it left both processes with the whole of each limit, and EIO while listing markers ended the start. Cause: each was tried once, and its first error taken for good; class: an ending in which something is owed. Change: the loop over the backlog goes on; holds and markers are written, and changed holds read, with a later poll; the last count of processes holds while they cannot be listed; a peek that fails for lack of buffers does not count as a client that has left. Why it works: the owed step is kept and repeated until it succeeds. These are several faults of one cause, so they are in one commit.

--- a/cleatyoke/process/hold_file.py
+++ b/cleatyoke/process/hold_file.py
@@ -25,7 +25,8 @@
     An operator's change in this process is made under a lock on a second file: the other process's changes
     are read first, then the change is applied, and the whole set is rewritten. ``apply_remote`` only rewrites
     the whole set, without that lock. The event loop polls the file for changes by the other process. If the
-    file cannot be read or written, that is logged and the change applies to this process only.
+    file cannot be read or written, that is logged, the change applies to this process, and reading and
+    writing are tried again with each poll.
     """
 
     def __init__(self, folder: Path, directory: Directory, core: Core, faults: Faults) -> None:
@@ -39,6 +40,7 @@
         self.poll_timer = PeriodicCall(faults, "holds", HOLD_POLL_INTERVAL, self.poll)
         self._mutex = threading.Lock()  # the control thread also changes holds
         self._last_stamp: tuple[int, int] | None = None  # of the file when it was last read or written
+        self._is_write_due = False  # the last one failed
 
     def start(self) -> None:
         """Read the file now, and begin to poll it."""
@@ -63,6 +65,8 @@
         """On the event loop: apply the changes that the other process has made."""
         with self._mutex:
             changed = self._read_changes()
+            if self._is_write_due:
+                self._try_to_write()
         self._notify(changed)
 
     def apply_remote(self, held: frozenset[str], released: frozenset[str]) -> None:
@@ -73,10 +77,7 @@
                 self.directory.holds.disable(name, known=True)
             for name in released:
                 self.directory.holds.enable(name, True, now)
-            try:
-                self._write()
-            except OSError as error:
-                log.warning("hold_file_error", reason=str(error))
+            self._try_to_write()
         self._notify([*held, *released])
 
     def _change(self, name: str, disable: bool) -> bool:
@@ -89,6 +90,7 @@
                     self._write()
             except OSError as error:
                 log.warning("hold_file_error", reason=str(error))
+                self._is_write_due = True
                 changed = []
                 is_known = self._apply(name, disable)
         self.loop.call_soon_threadsafe(self._notify, [*changed, name])
@@ -111,19 +113,30 @@
         stamp = self._file_stamp()
         if stamp is None or stamp == self._last_stamp:
             return []
-        self._last_stamp = stamp
         try:
             text = self.path.read_text()
-        except (OSError, ValueError):  # removed since ``_file_stamp``, or not valid text
+        except OSError:  # removed since ``_file_stamp``, or the disk fails: tried again with the next poll
             return []
+        except ValueError:  # not valid text
+            text = ""
+        self._last_stamp = stamp
         changes = self.directory.holds.merge(text, self.core.now())
         return changes.held + changes.released
 
+    def _try_to_write(self) -> None:
+        try:
+            self._write()
+        except OSError as error:
+            if not self._is_write_due:
+                log.warning("hold_file_error", reason=str(error))
+            self._is_write_due = True
+
     def _write(self) -> None:
         new_path = self.path.with_suffix(".new")
         new_path.write_text(self.directory.holds.encode())
         new_path.replace(self.path)
         self._last_stamp = self._file_stamp()
+        self._is_write_due = False
 
     def _file_stamp(self) -> tuple[int, int] | None:
         try:
--- a/cleatyoke/process/sibling_processes.py
+++ b/cleatyoke/process/sibling_processes.py
@@ -26,7 +26,8 @@
     """Counts the running processes of this front by their marker files, and divides rate limits among them.
 
     Otherwise two processes of an upgrade would each use the whole of every limit. The marker of a process
-    that no longer runs is ignored.
+    that no longer runs is ignored. A marker that could not be written is written with a later poll, and the
+    last count holds while the markers cannot be read.
 
     The constructor sets, in the scheduler's settings, which share of the limits this process may use and from
     when. If an older process runs, the slack is left to that process, and this one gets no quota until the
@@ -40,10 +41,10 @@
         self.marker = folder / f"{MARKER_PREFIX}{os.getpid()}"
         self.poll_timer = PeriodicCall(faults, "lives", SIBLING_POLL_INTERVAL, self.poll)
         self._notify: Callable[[SchedulerEvent], None] = _ignore
-        try:
-            self.marker.write_text("")
-        except OSError as error:
-            log.warning("process_marker_not_written", reason=str(error))
+        self._logged: set[str] = set()
+        self._is_marked = False
+        self._others = 0  # as last counted
+        self._write_marker()
         others = self._count_others()
         self.quota_share = 1.0 / (1 + others)  # the fraction of every rate limit that this process may use
         settings.initial_quota_share = self.quota_share
@@ -62,6 +63,8 @@
 
     def poll(self) -> None:
         """Count the running processes, and update the share."""
+        if not self._is_marked:
+            self._write_marker()
         quota_share = 1.0 / (1 + self._count_others())
         if quota_share != self.quota_share:
             self.quota_share = quota_share
@@ -69,8 +72,30 @@
             self._notify(QuotaShareChanged(quota_share))
 
     def _count_others(self) -> int:
-        pids = [path.name.removeprefix(MARKER_PREFIX) for path in self.folder.glob(f"{MARKER_PREFIX}*")]
-        return sum(1 for pid in pids if pid.isdecimal() and int(pid) != os.getpid() and _is_running(int(pid)))
+        try:
+            names = [path.name for path in self.folder.iterdir()]
+        except OSError as error:
+            self._log_once("process_markers_not_read", error)
+            return self._others
+        pids = [name.removeprefix(MARKER_PREFIX) for name in names if name.startswith(MARKER_PREFIX)]
+        self._others = sum(
+            1 for pid in pids if pid.isdecimal() and int(pid) != os.getpid() and _is_running(int(pid))
+        )
+        return self._others
+
+    def _write_marker(self) -> None:
+        try:
+            self.marker.write_text("")
+        except OSError as error:
+            self._log_once("process_marker_not_written", error)
+        else:
+            self._is_marked = True
+
+    def _log_once(self, event: str, error: OSError) -> None:
+        """Log an error of the folder: it is used with each poll, so a lasting one would fill the log."""
+        if event not in self._logged:
+            log.warning(event, reason=str(error))
+            self._logged.add(event)
 
 
 def _is_running(pid: int) -> bool:
--- a/cleatyoke/transport/listener.py
+++ b/cleatyoke/transport/listener.py
@@ -7,8 +7,11 @@
 import socket
 from collections.abc import Callable
 
+import structlog
+
 from cleatyoke.transport.sockets import is_readable
 
+log = structlog.get_logger()
 MAX_ACCEPTS_PER_TURN = 32  # connections per loop iteration, so that other events are not delayed for long
 BACKLOG = 512  # connections that the kernel queues before they are accepted: half of the most descriptors
 CAPACITY_POLL_INTERVAL = 0.01  # seconds between checks: capacity is freed no sooner than a response takes
@@ -85,10 +88,10 @@
         self.socket.close()
 
     def _accept_backlog(self) -> None:
-        with contextlib.suppress(OSError):  # no descriptor left, or the backlog is empty
-            for _ in range(BACKLOG):
-                if not is_readable(self.socket.fileno()) or not self.has_capacity():
-                    break
+        for _ in range(BACKLOG):
+            if not is_readable(self.socket.fileno()) or not self.has_capacity():
+                break
+            with contextlib.suppress(OSError):  # of one connection, or for a moment: the next may be accepted
                 self._accept_one()
 
     def _resume(self) -> None:
@@ -106,7 +109,10 @@
                 self._accept_one()
             except BlockingIOError:
                 return
-            except OSError:
+            except ConnectionAbortedError:  # its client has left
+                continue
+            except OSError as error:
+                log.info("accept_failed", reason=str(error))
                 self._pause()
                 return
 
--- a/cleatyoke/transport/sockets.py
+++ b/cleatyoke/transport/sockets.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import select
 import socket
 
+_TEMPORARY_ERRORS = (errno.EINTR, errno.ENOBUFS, errno.ENOMEM)  # of a call, not of the connection
+
 
 def has_unread_bytes(transport: asyncio.Transport) -> bool:
     """Whether bytes or the end of the stream have been received that the loop has not read yet."""
@@ -52,7 +55,7 @@
         return not peek.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return False
-    except OSError:
-        return True
+    except OSError as error:
+        return error.errno not in _TEMPORARY_ERRORS
     finally:
         peek.detach()
