Slow down bodies in tiny chunks, so that they leave processor time to others

Cause: decoding a chunk of one byte costs nearly as much as one of 16 KiB, and with much memory 161 such bodies were read at full speed. Class: a part without a bound. Change: a chunked body of which, after 16 KiB, less than half of the bytes received is data is read 1 KiB at a time, every 0.1 s. The pauses count towards its timeout. Why it works: what such bodies can cost is bounded by their number and the pause, whatever they send.

--- a/cleatyoke/http/body_reader.py
+++ b/cleatyoke/http/body_reader.py
@@ -18,6 +18,11 @@
 MEMORY_POLL_INTERVAL = 0.02  # seconds between attempts to reserve memory
 MAX_LAG_FRACTION = 0.8  # of the time that the client waits: the rest is for the request itself
 MIN_JOINED_BYTES = 4 * KIBIBYTE  # pieces that are shorter are joined to longer ones
+# Of a body in tiny chunks, after its first bytes; each chunk takes four bytes at least besides its data.
+FREE_CHUNKED_BYTES = 16 * KIBIBYTE
+MIN_DATA_FRACTION = 0.5
+TINY_CHUNKS_READ_BYTES = 1 * KIBIBYTE  # at once
+TINY_CHUNKS_PAUSE = 0.1  # seconds between reads
 CATCH_UP_TIME = 0.05  # seconds without unread bytes, after which a client has written nothing more: the
 # tolerance that the protocol page gives every time limit
 
@@ -36,6 +41,13 @@
     def has_unread(self) -> bool:
         """Whether the kernel holds bytes that the event loop has not read."""
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the current request's body as received, with the framing of chunks."""
+
+    def limit_reads(self, size: int) -> None:
+        """Read at most ``size`` bytes at once."""
+
     def pause_reading(self) -> None:
         """Read and decode nothing more of the body."""
 
@@ -125,6 +137,7 @@
                 raise BodyTooLongError
             pieces.add(piece)
             if declared_size is None:
+                await self._slow_down_tiny_chunks(size)
                 await self._wait_for(partial(self._memory.reserve, self._sender, size))
         return ReceivedBody(pieces.take(), self._lag)
 
@@ -146,6 +159,21 @@
             self._lag = 0.0
         return piece
 
+    async def _slow_down_tiny_chunks(self, size: int) -> None:
+        """Pause a body of which most bytes received are not data: decoding it takes processor time.
+
+        ``size``: bytes of data so far. The pauses count towards the timeout of the body.
+        """
+        received = self._sender.received_bytes
+        if received < FREE_CHUNKED_BYTES or size >= received * MIN_DATA_FRACTION:
+            return
+        self._sender.limit_reads(TINY_CHUNKS_READ_BYTES)
+        self._sender.pause_reading()
+        try:
+            await asyncio.sleep(TINY_CHUNKS_PAUSE)
+        finally:
+            self._sender.resume_reading()
+
     async def _wait_for(self, reserve: Callable[[], bool]) -> None:
         """Wait until ``reserve`` succeeds; meanwhile nothing is read."""
         if reserve():
--- a/cleatyoke/http/client_connection.py
+++ b/cleatyoke/http/client_connection.py
@@ -74,6 +74,7 @@
         self._head = RequestHead()
         self._head_memory = 0  # bytes reserved for the head
         self._body_kind = BodyKind.NONE  # of the current request
+        self.received_bytes = 0  # of the current request, behind what came with its head
         self._open_timer: asyncio.TimerHandle | None = None  # set while the request waits to be opened
         self._received_at = 0.0  # when the head was complete
         self.open_wait = 0.0  # seconds for which the current request waited to be opened
@@ -179,6 +180,7 @@
         elif not self.is_request_open:
             self._receive_head(data)
         elif not self.is_request_complete:
+            self.received_bytes += len(data)
             super().data_received(data)
         elif self.response_timeout is None:  # a response is being forwarded or written
             self.force_close()
@@ -235,6 +237,7 @@
             self._cancel_open_timer()
             self._inner.resume_reading()
         self.is_request_open = True
+        self.received_bytes = 0
         if self._inner and self._body_kind is not BodyKind.NONE:
             limit_read_size(self._inner, CLIENT_READ_BYTES)
         head = self._head.take()
@@ -341,6 +344,11 @@
         else:
             super()._process_keepalive()
 
+    def limit_reads(self, size: int) -> None:
+        """Read at most ``size`` bytes of the current body at once."""
+        if self._inner:
+            limit_read_size(self._inner, size)
+
     def has_unread(self) -> bool:
         """Whether the kernel holds bytes that the event loop has not read."""
         return self.transport is not None and has_unread_bytes(self.transport)
--- a/tests/test_http_bodies.py
+++ b/tests/test_http_bodies.py
@@ -11,6 +11,7 @@
 from tests.http_case import (
     TARGET,
     FrontCase,
+    answer_at_once,
 )
 from tests.scripted_peers import answer
 
@@ -92,6 +93,28 @@
 
         await self.start_front(script)
 
+    async def test_body_in_tiny_chunks_does_not_take_the_processor(self) -> None:
+        # Clients that sent chunks of one byte at full speed left no time for the requests of others.
+        await self.start_front(answer_at_once)
+        head = self.request_head("tiny", "Transfer-Encoding: chunked", method="PUT")
+        _, writer = await self.connect(head.replace(b"tile-read", b"record-write"))
+        await self.wait_until(lambda: self.front.connections.clients)
+        (client,) = self.front.connections.clients
+        writer.write(b"1\r\nx\r\n" * 100_000)
+        await asyncio.sleep(0.5)
+        assert client.received_bytes < 64 * 1024
+        writer.transport.abort()
+
+    async def test_short_body_in_tiny_chunks_is_served_at_once(self) -> None:
+        await self.start_front(answer_at_once)
+        head = self.request_head("tiny", "Transfer-Encoding: chunked", method="PUT")
+        reader, writer = await self.connect(head.replace(b"tile-read", b"record-write"))
+        writer.write(b"1\r\nx\r\n" * 2000 + b"0\r\n\r\n")
+        async with asyncio.timeout(0.5):
+            assert b" 200 " in await reader.readline()
+        writer.close()
+        assert self.backend.bodies["tiny"] == b"x" * 2000
+
     async def test_slow_chunked_and_expect_continue_uploads_arrive_unchanged(self) -> None:
         await self.start_answering_front()
         body = random.Random(2).randbytes(300_000)
