Read long bodies 64 KiB at once, so that waiting uploads get their memory in time

Cause, traced: memory is granted to one of five uploads of 2 MB at a time, and each took over 0.3 s there, as it was read 16 KiB a turn of the loop: the fifth waited for its 1.2 s (body_memory_exhausted held=2097152 waiting=0). Change: a long body whose length is declared is read 64 KiB at once after its memory is reserved. Also less work for each request: ids are looked up as bytes, markers listed without path objects, kinds of bodies hashed as integers.

--- a/cleatyoke/http/body_reader.py
+++ b/cleatyoke/http/body_reader.py
@@ -11,13 +11,14 @@
 from aiohttp import StreamReader
 
 from cleatyoke.http.body_limits import BODY_GRACE, BodyMemory, body_timeout
-from cleatyoke.limits.memory_budget import KIBIBYTE
+from cleatyoke.limits.memory_budget import KIBIBYTE, UNRESERVED_BYTES
 
 BODY_TIMEOUT = BODY_GRACE  # seconds for a short body to arrive
 READ_DELAY = 0.001  # seconds until received bytes are read: the loop reads sockets before it runs timers
 MEMORY_POLL_INTERVAL = 0.02  # seconds between attempts to reserve memory
 MAX_LAG_FRACTION = 0.8  # of the time that the client waits: the rest is for the request itself
 MIN_JOINED_BYTES = 4 * KIBIBYTE  # pieces that are shorter are joined to longer ones
+LONG_BODY_READ_BYTES = 64 * KIBIBYTE  # read at once of a long body whose memory is reserved
 # Of a body in tiny chunks, after its first bytes; each chunk takes four bytes at least besides its data.
 FREE_CHUNKED_BYTES = 16 * KIBIBYTE
 MIN_DATA_FRACTION = 0.5
@@ -129,6 +130,8 @@
         """
         if declared_size is not None:
             await self._wait_for(partial(self._memory.reserve_whole, self._sender, declared_size))
+            if declared_size > UNRESERVED_BYTES:
+                self._sender.limit_reads(LONG_BODY_READ_BYTES)
         pieces = BodyPieces()
         size = 0
         while piece := await self._read_piece(size):
--- a/cleatyoke/http/open_requests.py
+++ b/cleatyoke/http/open_requests.py
@@ -70,7 +70,7 @@
         """Forget the connection's request, open or waiting, if there is one."""
         self._waiting.pop(connection, None)
         kind = self._open.pop(connection, None)
-        if kind:
+        if kind is not None:
             self._counts[kind] -= 1
 
     def _fits(self, kind: BodyKind) -> bool:
--- a/cleatyoke/http/request_head.py
+++ b/cleatyoke/http/request_head.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import re
-from enum import Enum, auto
+from enum import Enum, IntEnum, auto
 
 from cleatyoke.limits.memory_budget import UNRESERVED_BYTES
 
@@ -29,7 +29,7 @@
     UNREADABLE = auto()
 
 
-class BodyKind(Enum):
+class BodyKind(IntEnum):
     """What body a request has, by its head; the parser decides whether the head is acceptable."""
 
     NONE = auto()
--- a/cleatyoke/http/trace_ids.py
+++ b/cleatyoke/http/trace_ids.py
@@ -17,6 +17,7 @@
 
 ID_RETENTION = 600.0  # seconds after it was sent for which an id counts as in use
 _ENTRIES = 8  # of a bucket: the oldest gives way to a new one
+_FINGERPRINT_BYTES = 8
 _ENTRY = struct.Struct("<Qd")  # fingerprint and time
 _BUCKET = struct.Struct("<" + "Qd" * _ENTRIES)
 _FILE_NAME = "cleatyoke-trace-ids"  # in $TMPDIR
@@ -84,23 +85,23 @@
     def add(self, fingerprint: int, now: float) -> None:
         """Add a fingerprint."""
         offset = self._offset(fingerprint)
-        bucket = self._read(offset)
+        bucket = _BUCKET.unpack(self._store.read(offset, _BUCKET.size))
         times = bucket[1::2]
         position = bucket[::2].index(fingerprint) if fingerprint in bucket[::2] else times.index(min(times))
         self._store.write(offset + position * _ENTRY.size, _ENTRY.pack(fingerprint, now))
 
     def contains(self, fingerprint: int, now: float) -> bool:
         """Return whether a fingerprint was added in the last ``ID_RETENTION`` seconds."""
-        bucket = self._read(self._offset(fingerprint))
+        data = self._store.read(self._offset(fingerprint), _BUCKET.size)
+        if fingerprint.to_bytes(_FINGERPRINT_BYTES, "little") not in data:
+            return False
+        bucket = _BUCKET.unpack(data)
         entries = zip(bucket[::2], bucket[1::2])
         return any(known == fingerprint and now - added < ID_RETENTION for known, added in entries)
 
     def _offset(self, fingerprint: int) -> int:
         return fingerprint % self._buckets * _BUCKET.size
 
-    def _read(self, offset: int) -> tuple[int | float, ...]:
-        return _BUCKET.unpack(self._store.read(offset, _BUCKET.size))
-
 
 class TraceIds:
     """Detects duplicate requests by their ``X-Trace-Id``.
@@ -111,7 +112,7 @@
     """
 
     def __init__(self, table_bytes: int, shared_folder: Path | None = None) -> None:
-        self.open: set[str] = set()
+        self.open: dict[str, int] = {}  # fingerprints by id
         size = max(1, table_bytes // _BUCKET.size) * _BUCKET.size
         self._sent = IdTable(MemoryStore(size))
         self._shared: IdTable | None = None
@@ -123,14 +124,17 @@
 
     def add(self, trace_id: str, now: float) -> bool:
         """Mark an id as in use; return False if it already is, or was."""
-        if trace_id in self.open or self._was_sent(_fingerprint(trace_id), now):
+        if trace_id in self.open:
             return False
-        self.open.add(trace_id)
+        fingerprint = _fingerprint(trace_id)
+        if self._was_sent(fingerprint, now):
+            return False
+        self.open[trace_id] = fingerprint
         return True
 
     def mark_sent(self, trace_id: str, now: float) -> None:
-        """Remember the id of a request that is about to be sent to a backend."""
-        fingerprint = _fingerprint(trace_id)
+        """Remember the id of an open request that is about to be sent to a backend."""
+        fingerprint = self.open[trace_id]
         self._sent.add(fingerprint, now)
         if self._shared:
             try:
@@ -140,7 +144,7 @@
 
     def release(self, trace_id: str) -> None:
         """Forget the id of a request that has ended, unless it was sent."""
-        self.open.discard(trace_id)
+        self.open.pop(trace_id, None)
 
     def _was_sent(self, fingerprint: int, now: float) -> bool:
         if self._sent.contains(fingerprint, now):
@@ -156,5 +160,7 @@
 
 def _fingerprint(trace_id: str) -> int:
     """Return 64 bits that differ between ids, and are never 0, which is an empty entry."""
-    digest = hashlib.blake2b(trace_id.encode("utf-8", "surrogateescape"), digest_size=8).digest()
+    digest = hashlib.blake2b(
+        trace_id.encode("utf-8", "surrogateescape"), digest_size=_FINGERPRINT_BYTES
+    ).digest()
     return int.from_bytes(digest) or 1
--- a/cleatyoke/process/sibling_processes.py
+++ b/cleatyoke/process/sibling_processes.py
@@ -73,11 +73,12 @@
 
     def _count_others(self) -> int:
         try:
-            names = [path.name for path in self.folder.iterdir()]
+            with os.scandir(self.folder) as entries:
+                names = [entry.name for entry in entries if entry.name.startswith(MARKER_PREFIX)]
         except OSError as error:
             self._log_once("process_markers_not_read", error)
             return self._others
-        pids = [name.removeprefix(MARKER_PREFIX) for name in names if name.startswith(MARKER_PREFIX)]
+        pids = [name.removeprefix(MARKER_PREFIX) for name in names]
         self._others = sum(
             1 for pid in pids if pid.isdecimal() and int(pid) != os.getpid() and _is_running(int(pid))
         )
--- a/tests/test_failing_system_calls.py
+++ b/tests/test_failing_system_calls.py
@@ -132,7 +132,7 @@
         failing = OSError(number, os.strerror(number))
         with (
             mock.patch.object(Path, "write_text", side_effect=failing),
-            mock.patch.object(Path, "iterdir", side_effect=failing),
+            mock.patch.object(os, "scandir", side_effect=failing),
         ):
             siblings = SiblingProcesses(folder, config().settings, Faults(Metrics()), 50.0)
             siblings.poll()
