--- a/cleatyoke/distribution/network.py
+++ b/cleatyoke/distribution/network.py
@@ -24,6 +24,7 @@
 )
 from cleatyoke.process.faults import Faults
 from cleatyoke.transport.framing import read_message, write_message
+from cleatyoke.transport.sockets import abort_stream
 
 RETRY_INTERVAL = 1.0  # seconds until the next step after an unexpected exception here
 MAX_CONNECTIONS = 512  # open at the same time; further ones are closed unread
@@ -111,7 +112,7 @@
             data = None
         finally:
             if writer:
-                writer.transport.abort()
+                abort_stream(writer)
         self.step(PollAnswered(poll.poll_id, data))
 
 
@@ -151,8 +152,7 @@
                     await self._answer(reader, writer)
         finally:
             self.open_connections -= 1
-            with contextlib.suppress(OSError):
-                writer.transport.abort()
+            abort_stream(writer)
 
     async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         async with asyncio.timeout(EXCHANGE_TIMEOUT):
--- a/cleatyoke/fleet/sockets.py
+++ b/cleatyoke/fleet/sockets.py
@@ -15,6 +15,7 @@
 from cleatyoke.config.addresses import Address, read_address
 from cleatyoke.config.errors import ConfigError
 from cleatyoke.process.faults import Faults, PeriodicCall
+from cleatyoke.transport.sockets import abort_stream
 
 MAX_DATAGRAMS_PER_SECOND = 2000  # the excess is dropped, so that a flood does not delay requests
 BIND_ATTEMPTS = 8  # attempts to find a port that is free for both sockets
@@ -208,7 +209,7 @@
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.pair is None:
             self.dropped["early"] += 1
-            writer.transport.abort()
+            abort_stream(writer)
         else:
             self.on_stream(reader, writer)
 
--- a/cleatyoke/fleet/streams.py
+++ b/cleatyoke/fleet/streams.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -17,6 +16,7 @@
 from cleatyoke.membership.events import ExchangeAnswered, ExchangeRequested
 from cleatyoke.membership.wire import MAX_STREAM_BYTES
 from cleatyoke.transport.framing import read_message, write_message
+from cleatyoke.transport.sockets import abort_stream
 
 MAX_STREAMS = 16  # open at once, incoming and outgoing together; further ones are rejected
 EXCHANGE_TIMEOUT = 1.0  # seconds for a complete exchange
@@ -59,7 +59,7 @@
         """Serve a peer's connection, or abort it if too many streams are open."""
         if len(self.tasks) >= MAX_STREAMS:
             self.dropped["streams"] += 1
-            writer.transport.abort()
+            abort_stream(writer)
         else:
             self._start_task(self._serve(reader, writer))
 
@@ -92,7 +92,7 @@
             self.dropped["exchange"] += 1
         finally:
             if writer:
-                writer.transport.abort()
+                abort_stream(writer)
         self.on_answered(ExchangeAnswered(address, answer))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -112,5 +112,4 @@
             self.dropped["stream"] += 1
         finally:
             self._replies.pop(token, None)
-            with contextlib.suppress(OSError):
-                writer.transport.abort()
+            abort_stream(writer)
--- a/cleatyoke/process/faults.py
+++ b/cleatyoke/process/faults.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import errno
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
@@ -15,6 +16,8 @@
 
 from cleatyoke.process.metrics import Metrics
 
+# Of asyncio's own listeners, for lack of descriptors or memory of the system.
+_ACCEPT_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 log = structlog.get_logger()
 
 
@@ -34,10 +37,14 @@
         loop.set_exception_handler(self._report_from_loop)
 
     def _report_from_loop(self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if isinstance(error, OSError) and error.errno in _ACCEPT_ERRORS:  # asyncio accepts again after 1 s
+            log.warning("accept_failed", reason=str(error))
+            return
         subject = context.get("future") or context.get("handle") or context.get("protocol")
         self.report(
             "loop_fault",
-            context.get("exception"),
+            error,
             reason=context.get("message", ""),
             subject=type(subject).__name__,
         )
--- a/cleatyoke/sftp/backend_commands.py
+++ b/cleatyoke/sftp/backend_commands.py
@@ -27,6 +27,7 @@
     Version,
     Write,
 )
+from cleatyoke.transport.sockets import abort_stream
 
 MAX_LISTED_NAMES = 20_000  # entries of a listing
 NAME_BYTES = 400  # of an entry's objects, beside its two names
@@ -117,7 +118,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, discarding buffered data."""
-        self._writer.transport.abort()
+        abort_stream(self._writer)
 
 
 async def run_command(connection: SftpConnection, command: Command) -> Packet:
--- a/cleatyoke/sftp/backends.py
+++ b/cleatyoke/sftp/backends.py
@@ -11,7 +11,7 @@
 from cleatyoke.sftp.backend_commands import Command, SftpConnection, is_write, run_command
 from cleatyoke.sftp.codec import STREAM_BUFFER_BYTES
 from cleatyoke.sftp.packets import VERSION, Init, Packet, PacketError, Status, StatusCode, Version
-from cleatyoke.transport.sockets import limit_read_size
+from cleatyoke.transport.sockets import abort_stream, limit_read_size
 
 MAX_IDLE_PER_BACKEND = 4  # idle connections kept open to one backend
 IDLE_FRACTION = 0.5  # of the backends' idle timeout, after which an idle connection is not reused
@@ -121,11 +121,11 @@
                 return connection
         except (OSError, EOFError, ValueError, TimeoutError) as error:
             if writer:
-                writer.transport.abort()
+                abort_stream(writer)
             raise NotStartedError from error
         except asyncio.CancelledError:
             if writer:
-                writer.transport.abort()
+                abort_stream(writer)
             raise
 
     def _keep_idle(self, node: int, connection: SftpConnection) -> bool:
--- a/cleatyoke/sftp/server.py
+++ b/cleatyoke/sftp/server.py
@@ -18,7 +18,7 @@
 from cleatyoke.sftp.packets import Packet, StatusCode
 from cleatyoke.sftp.session import Session
 from cleatyoke.sftp.volume_paths import CommandRejectedError, VolumePaths
-from cleatyoke.transport.sockets import limit_read_size
+from cleatyoke.transport.sockets import abort_stream, limit_read_size
 
 log = structlog.get_logger()
 
@@ -75,7 +75,7 @@
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.sessions) >= self.max_sessions:
             log.warning("sftp_session_limit_reached", limit=self.max_sessions)
-            writer.transport.abort()
+            abort_stream(writer)
             return
         assert isinstance(writer.transport, asyncio.Transport)
         limit_read_size(writer.transport, STREAM_BUFFER_BYTES)
--- a/cleatyoke/sftp/session.py
+++ b/cleatyoke/sftp/session.py
@@ -12,6 +12,7 @@
 from cleatyoke.sftp.handles import HandleTable
 from cleatyoke.sftp.packets import VERSION, Init, Packet, PacketError, Status, StatusCode, Version
 from cleatyoke.sftp.volume_paths import CommandRejectedError
+from cleatyoke.transport.sockets import abort_stream
 
 MAX_QUEUED_PACKETS = 8  # unanswered packets of a session, beyond which reading pauses
 MEMORY_POLL_INTERVAL = 0.02  # seconds between attempts to reserve memory
@@ -76,7 +77,7 @@
 
     def abort(self) -> None:
         """Close the connection at once, discarding buffered data."""
-        self._writer.transport.abort()
+        abort_stream(self._writer)
 
     async def _read_packets(self) -> bool:
         """Queue packets; return True if the client sent an invalid length, False if it left or was idle."""
--- a/cleatyoke/testbed/front_process.py
+++ b/cleatyoke/testbed/front_process.py
@@ -116,7 +116,12 @@
             *arguments,
             cwd=self.run.program,
             stderr=asyncio.subprocess.PIPE,
-            env={**inherited, "RELAY_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder)},
+            env={
+                **inherited,
+                **self.run.front_environment,
+                "RELAY_CONFIG": str(self.folder / "config.json"),
+                "TMPDIR": str(self.folder),
+            },
         )
         self.log_task = asyncio.create_task(self._read_log(self.process))
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/cleatyoke/testbed/runner.py
+++ b/cleatyoke/testbed/runner.py
@@ -37,6 +37,7 @@
         self.scenario = scenario
         self.folder = folder
         self.program = program
+        self.front_environment: dict[str, str] = {}  # beside what fronts inherit
         self.clock = asyncio.get_running_loop().time
         self.unix_offset = time.time() - self.clock()
         self.report = RunReport(scenario.name, scenario.seconds)
--- a/cleatyoke/testbed/soak.py
+++ b/cleatyoke/testbed/soak.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 
 from cleatyoke.testbed.clients import ClientDoubles, FrontAddress
+from cleatyoke.testbed.failing_calls import shim_environment
 from cleatyoke.testbed.fault_injection import DOWN_S
 from cleatyoke.testbed.front_process import EXPECTED_STATUSES, FrontProcess
 from cleatyoke.testbed.generator import Values, to_toml
@@ -263,12 +264,20 @@
         """Ignore the value: the shared address holds the state."""
 
 
-def run_soak(name: str, values: Values, program: Path = ROOT) -> RunReport:
-    """Run a soak given by its values, in this process, until its fronts have exited."""
+def run_soak(
+    name: str, values: Values, program: Path = ROOT, failing_calls_seed: int | None = None
+) -> RunReport:
+    """Run a soak given by its values, in this process, until its fronts have exited.
+
+    ``failing_calls_seed``: with this seed, the fronts' system calls fail at times (``failing_calls``).
+    """
 
     async def run() -> RunReport:
-        with tempfile.TemporaryDirectory() as folder:
-            return await SoakRun(make_soak(name, values), Path(folder), program).run()
+        with tempfile.TemporaryDirectory() as folder, tempfile.TemporaryDirectory() as shim:
+            soak_run = SoakRun(make_soak(name, values), Path(folder), program)
+            if failing_calls_seed is not None:
+                soak_run.front_environment = shim_environment(Path(shim), failing_calls_seed, program)
+            return await soak_run.run()
 
     return asyncio.run(run())
 
@@ -286,12 +295,17 @@
     )
 
 
-def soak(seeds: Sequence[int], jobs: int, keep: Path | None, program: Path) -> int:
+def soak(
+    seeds: Sequence[int], jobs: int, keep: Path | None, program: Path, *, failing_calls: bool = False
+) -> int:
     """Run each seed and print its line; return how many violated a rule or logged a fault."""
     failed_runs = 0
     with pool(jobs) as workers:
         runs = {
-            seed: workers.submit(run_soak, f"soak-{seed}", generate_soak(seed), program) for seed in seeds
+            seed: workers.submit(
+                run_soak, f"soak-{seed}", generate_soak(seed), program, seed if failing_calls else None
+            )
+            for seed in seeds
         }
         for seed, run in runs.items():
             report = run.result()
@@ -326,9 +340,14 @@
     parser.add_argument("--jobs", type=int, default=1, help="runs at once")
     parser.add_argument("--keep", type=Path, help="folder for shrunk soaks that violate a rule")
     parser.add_argument("--program", type=Path, default=ROOT, help="folder of the package that is run")
+    parser.add_argument(
+        "--failing-calls", action="store_true", help="have the fronts' system calls fail at times"
+    )
     options = parser.parse_args(arguments)
     seeds = range(options.first, options.first + options.seeds)
-    failed_runs = soak(seeds, options.jobs, options.keep, options.program)
+    failed_runs = soak(
+        seeds, options.jobs, options.keep, options.program, failing_calls=options.failing_calls
+    )
     print(f"{options.seeds} seeds from {options.first}: {failed_runs} broke a rule or logged a fault")
     return int(bool(failed_runs))
 
--- a/cleatyoke/transport/sockets.py
+++ b/cleatyoke/transport/sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import select
 import socket
@@ -23,6 +24,15 @@
     transport.max_size = size  # type: ignore[attr-defined]  # of asyncio.selector_events._SelectorTransport
 
 
+def abort_stream(writer: asyncio.StreamWriter) -> None:
+    """Abort a stream's connection, which may have ended.
+
+    asyncio's transports forget their loop when they end, and may then fail to abort.
+    """
+    with contextlib.suppress(OSError, AttributeError):
+        writer.transport.abort()
+
+
 def is_readable(descriptor: int) -> bool:
     """Whether a read or an accept on the descriptor would not block."""
     poll = select.poll()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,11 +14,13 @@
 from cleatyoke.testbed.soak_plan import SignalSeries, generate_soak, make_soak
 
 SEEDS = (1, 4, 6)
+FAILING_CALLS_SEEDS = (1, 3)
 
 
-def run_seed(seed: int, program: Path = ROOT) -> RunReport:
+def run_seed(seed: int, program: Path = ROOT, failing_calls_seed: int | None = None) -> RunReport:
     with pool(1) as workers:
-        return workers.submit(run_soak, f"soak-{seed}", generate_soak(seed), program).result()
+        values = generate_soak(seed)
+        return workers.submit(run_soak, f"soak-{seed}", values, program, failing_calls_seed).result()
 
 
 def test_generate_soak_is_deterministic_and_covers_all_kinds() -> None:
@@ -40,6 +42,16 @@
     assert report.answers["200"] > 10
 
 
+@pytest.mark.parametrize("seed", FAILING_CALLS_SEEDS)
+def test_failing_system_calls_and_clock_steps_violate_no_rule(seed: int) -> None:
+    """Guards against losses where calls fail, reads and writes are short, or the wall clock is stepped."""
+    report = run_seed(seed, failing_calls_seed=seed)
+    assert report.violations == [], "\n".join([summary(seed, report), *report.lines()])
+    assert report.fault_lines == []
+    assert report.answers["200"] > 10
+    assert report.log_counts["accept_failed"] > 0, "no fault was installed"
+
+
 def test_late_exit_violates_exit_rule(tmp_path: Path) -> None:
     """SIGKILL comes at the earliest time specified: an exit 0.3 s after the answers are due is too late."""
     shutil.copytree(ROOT / "cleatyoke", tmp_path / "cleatyoke")
--- a/tests/vulture_allowlist.py
+++ b/tests/vulture_allowlist.py
@@ -1,5 +1,6 @@
 """Names that vulture reports as unused, each with the reason why it is needed."""
 
+install_in_front  # the module that ``testbed.failing_calls`` writes calls it
 _.convert  # click calls it on its parameter types
 _.datagram_received  # asyncio calls the methods of a protocol
 _.error_received
