--- a/review/harness2/http.py
+++ b/review/harness2/http.py
@@ -24,7 +24,7 @@
 
 
 NEVER_RAN = b"HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
-WAIT_MS = 1400  # that a client waits for an answer
+WAIT_MS = {"tile-read": 1400, "record-write": 1400, "booking-write": 2400}  # that a client waits
 Work = Callable[[Arrival], Awaitable[bytes | None]]  # the body of the answer; None: turned away
 
 
@@ -75,6 +75,18 @@
             writer.close()
 
 
+@dataclass
+class Request:
+    """What a client sends."""
+
+    method: str
+    qos: str
+    shard: int
+    item: int = 1
+    body: bytes = b""
+    key: str = ""
+
+
 class Client:
     """A client with one connection, which it keeps."""
 
@@ -95,10 +107,14 @@
             self.writer.close()
         self.reader = self.writer = None
 
-    async def request(
-        self, method: str, qos: str, shard: int, *, item: int = 1, body: bytes = b""
-    ) -> tuple[int, bytes]:
+    async def read(self, shard: int, item: int = 1) -> tuple[int, bytes]:
+        """Send a read; see ``send``."""
+        return await self.send(Request("GET", "tile-read", shard, item))
+
+    async def send(self, request: Request) -> tuple[int, bytes]:
         """Send a request and return the answer's status and body; status 0: the connection ended."""
+        method, qos, shard, item = request.method, request.qos, request.shard, request.item
+        body, key = request.body, request.key
         trace = f"{next(self._numbers):04x}{secrets.token_hex(6)}"
         if (
             self.writer is None
@@ -108,16 +124,17 @@
             await self.connect()
         assert self.writer
         assert self.reader
+        keyed = f"Idempotency-Key: {key}\r\n" if key else ""
         length = f"Content-Length: {len(body)}\r\n" if method == "PUT" else ""
         self.writer.write(
             f"{method} /api?block={item:016x} HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: {trace}\r\n"
-            f"X-Qos: {qos}\r\nX-Plan: research\r\nX-Expires-In-Ms: {WAIT_MS}\r\n{length}"
+            f"X-Qos: {qos}\r\nX-Plan: research\r\nX-Expires-In-Ms: {WAIT_MS[qos]}\r\n{length}{keyed}"
             f"X-IO: volume=00000000000000a1,units=1,shard={shard},hosts=1\r\n\r\n".encode()
             + body
         )
         self.record.add(f"client: sends {method} {trace}, item {item}, shard {shard}")
         try:
-            async with asyncio.timeout(WAIT_MS / 1000 + 0.6):
+            async with asyncio.timeout(WAIT_MS[qos] / 1000 + 0.6):
                 head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
                 length_text = head.partition("content-length:")[2].partition("\r\n")[0].strip()
                 answer = await self.reader.readexactly(int(length_text or 0))
