--- a/review/harness2/fronts.py
+++ b/review/harness2/fronts.py
@@ -147,6 +147,7 @@
         self.ready = asyncio.Event()
         self.log_task: asyncio.Task[None] | None = None
         self.fronts_file = ""
+        self.memory_mb = 192
 
     def write_config(self, discovery: int, known: dict[str, Any], values: dict[str, Any]) -> None:
         """Write the configuration file in one step."""
@@ -155,7 +156,7 @@
             "listen": f"127.0.0.1:{self.port}",
             "discovery": f"127.0.0.1:{discovery}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": 1024},
             "known": known,
             "settings": values,
         }
