--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,113 +1,139 @@
-"""A long write of a keyed class whose second attempt is only complete when its key has been forgotten."""
+"""Two processes of an upgrade under long uploads, and the memory of the front."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import re
+import signal
 import socket
-import struct
 from pathlib import Path
 
 from harness2.discovery import Agent, Registry, entry
-from harness2.fronts import Front, Record, lane, run_case, settings, trouble, within
-from harness2.http import Client, Request
-
-WINDOW = 1.0  # seconds for which boxes drop a repeat of a key (MemorySpanS)
-TOLERANCE = 0.05  # seconds by which the protocol page lengthens each time limit
-HANG = 1.5  # seconds for which the box hangs after its first answer was lost
-BODY = bytes(16 * 1024 * 1024)  # the operators' page: bodies reach 32 MB
-WORK = 0.03  # seconds
-KEYED = settings(
-    Lanes=[
-        lane("slot-read", "repeatable"),
-        lane("booking-write", "by_key", AimS=0.5, GiveUpS=2.5, DedupScope="cell", MemorySpanS=WINDOW),
-    ]
-)
-
-
-class KeyedBox:
-    """A chunk server that drops repeats of a key for ``WINDOW`` seconds; it reads nothing while it hangs."""
-
-    def __init__(self, record: Record) -> None:
-        self.record = record
-        self.port = 0
-        self.complete_at: list[tuple[str, float]] = []  # key, and when an attempt's last byte had come
-        self.runs: dict[str, list[float]] = {}  # when each key's work was applied
-        self.hangs_until = 0.0
-        self.resets_next = trouble()
-
-    async def start(self) -> None:
-        """Listen."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                lines = (one.partition(": ") for one in head.split("\r\n")[1:])
-                fields = {name.lower(): value for name, _, value in lines}
-                key = fields["idempotency-key"]
-                self.record.add(f"box-1: the head of an attempt of {key} has come")
-                await asyncio.sleep(max(0.0, self.hangs_until - self.record.now()))
-                await reader.readexactly(int(fields["content-length"]))
-                await self._run(key)
-                if self._loses_answer(key, writer):
-                    return
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
-                await writer.drain()
-        except (OSError, EOFError):
-            self.record.add("box-1: a connection has ended")
-        finally:
-            writer.close()
-
-    async def _run(self, key: str) -> None:
-        now = self.record.now()
-        self.complete_at.append((key, now))
-        self.record.add(f"box-1: the last byte of an attempt of {key} has come")
-        earlier = self.runs.setdefault(key, [])
-        if earlier and now <= earlier[0] + WINDOW:
-            self.record.add(f"box-1: drops a repeat of {key}")
-            return
-        earlier.append(now)
-        await asyncio.sleep(WORK)
-        self.record.add(f"box-1: has run {key}, {len(earlier)} time(s)")
+from harness2.fronts import Front, Record, run_case, settings, trouble, within
+from harness2.http import Arrival, ChunkServer, Client, Request
+
+MEMORY_MB = 96  # LATER.md: 32 to 192
+UPLOADERS = 32  # of the third of 1,024 descriptors that clients may hold
+BODY = bytes(8 * 1024 * 1024)  # the operators' page: bodies reach 32 MB
+WORK = 0.4  # seconds that a chunk server takes for such a write
+LOAD_BEFORE = 3.0  # seconds of load on the old process alone
+LOAD_AFTER = 3.0  # seconds of load from the start of the new process on
+SAMPLE_INTERVAL = 0.02  # seconds
+PSS = re.compile(r"^Pss:\s+([0-9]+) kB", re.MULTILINE)
+
+
+def memory_mb(fronts: list[Front]) -> float:
+    """Return what the processes take together; pages that they share count once."""
+    total = 0
+    for front in fronts:
+        if front.process and front.process.returncode is None:
+            with contextlib.suppress(OSError):
+                text = Path(f"/proc/{front.process.pid}/smaps_rollup").read_text()
+                total += int(match[1]) if (match := PSS.search(text)) else 0
+    return total / 1024
+
+
+class Load:
+    """Clients that upload one body after the other, each on a new connection."""
+
+    def __init__(self, port: int, record: Record) -> None:
+        self.port, self.record = port, record
+        self.running = True
+        self.statuses: list[int] = []
+        self.under_way = 0
+
+    async def upload(self, number: int) -> None:
+        """Upload until the load ends."""
+        item = number * 1000
+        while self.running:
+            item += 1
+            client = Client(self.port, self.record)
+            self.under_way += 1
+            try:
+                status, _ = await client.send(Request("PUT", "record-write", number % 2, item, BODY))
+                self.statuses.append(status)
+            except OSError:
+                await asyncio.sleep(0.1)
+            finally:
+                self.under_way -= 1
+            client.close()
 
-    def _loses_answer(self, key: str, writer: asyncio.StreamWriter) -> bool:
-        if not self.resets_next:
-            return False
-        self.resets_next = False
-        self.hangs_until = self.record.now() + HANG
-        self.record.add(f"box-1: the connection of {key} is reset, and the box hangs for {HANG} s")
-        peer = writer.get_extra_info("socket")
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        writer.transport.abort()
-        return True
+
+class Platform:
+    """Watches the front's memory, and kills it where it takes more than its limit."""
+
+    def __init__(self, fronts: list[Front], load: Load, record: Record) -> None:
+        self.fronts, self.load, self.record = fronts, load, record
+        self.most = 0.0
+        self.killed = ""
+
+    async def watch(self) -> None:
+        """Sample the memory until the load ends."""
+        while self.load.running:
+            taken = memory_mb(self.fronts)
+            self.most = max(self.most, taken)
+            if taken > MEMORY_MB:
+                parts = [round(memory_mb([front])) for front in self.fronts]
+                self.killed = f"the front takes {taken:.0f} MB of {MEMORY_MB} ({parts}) and is killed"
+                self.record.add(self.killed + f", {self.load.under_way} requests under way")
+                for front in self.fronts:
+                    if front.process and front.process.returncode is None:
+                        front.process.kill()
+                self.load.running = False
+            await asyncio.sleep(SAMPLE_INTERVAL)
+
+
+async def upgrade(old: Front, new: Front, accept: socket.socket, load: Load) -> None:
+    """Start the new process beside the old one, which gets SIGTERM once the new one is ready."""
+    await new.start(label="new", accept=accept, expect_ready=False)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(6.0):
+            await new.ready.wait()
+    if load.running:
+        old.signal(signal.SIGTERM)
 
 
 async def play(record: Record, folder: Path) -> list[str]:
-    """Send long writes one after the other; the first one's answer is lost."""
-    box = KeyedBox(record)
-    await box.start()
-    registry = Registry([entry("box-1", box.port, 0)])
+    """Put the load on the front, upgrade it, and see what it takes."""
+
+    async def work(_arrival: Arrival) -> bytes | None:
+        await asyncio.sleep(WORK)
+        return b"done"
+
+    boxes = [ChunkServer(f"box-{shard}", shard, record, work) for shard in range(2)]
+    for box in boxes:
+        await box.start()
+    registry = Registry([entry(box.name, box.port, box.shard) for box in boxes])
     agent = Agent("A", registry, record)
     await agent.start()
-    front = Front(record, folder)
-    front.write_config(agent.port, registry.whole(), KEYED)
+    accept = socket.create_server(("127.0.0.1", 0), backlog=128)
+    fronts = [Front(record, folder), Front(record, folder)]
+    for front in fronts:
+        front.port = accept.getsockname()[1]
+        front.memory_mb = MEMORY_MB
+        front.write_config(agent.port, registry.whole(), settings())
+    load = Load(fronts[0].port, record)
+    platform = Platform(fronts, load, record)
     try:
-        await front.start()
+        await fronts[0].start(label="old", accept=accept)
         await within(5.0, lambda: agent.open_watches > 0, "a watch")
-        client = Client(front.port, record)
-        for number in range(3):
-            await client.send(Request("PUT", "booking-write", 0, number, BODY, f"key-{number}"))
-        client.close()
+        tasks = [asyncio.create_task(load.upload(number)) for number in range(UPLOADERS)]
+        tasks.append(asyncio.create_task(platform.watch()))
+        await asyncio.sleep(LOAD_BEFORE)
+        record.add(f"most memory before the upgrade: {platform.most:.0f} MB")
+        if trouble():
+            await upgrade(fronts[0], fronts[1], accept, load)
+        await asyncio.sleep(LOAD_AFTER)
+        load.running = False
+        await asyncio.gather(*tasks)
     finally:
-        await front.kill()
-    first = dict(reversed(box.complete_at))
-    return [
-        f"{key}: complete again {at - first[key]:.2f} s after its first attempt, {len(box.runs[key])} runs"
-        for key, at in box.complete_at
-        if at - first[key] > WINDOW + TOLERANCE
-    ]
+        for front in fronts:
+            await front.kill()
+        accept.close()
+    counts = {status: load.statuses.count(status) for status in sorted(set(load.statuses))}
+    record.add(f"answers by status: {counts}; most memory: {platform.most:.0f} MB")
+    return [platform.killed] if platform.killed else []
 
 
 run_case(__file__, play)
