Review case 8: a long answer of unknown length is cut off at a pause

Done: a case with a hang of 1 s within an answer of 120 kB. A first form had a client that knew only chunked answers, and failed without the disruption too; it reads both forms now.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,122 +1,123 @@
-"""Two new configurations in a row while the first one's discovery is slow to answer."""
+"""A long answer of unknown length whose chunk server hangs for a moment in the middle of it."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import secrets
 from pathlib import Path
 
 from harness2.discovery import Agent, Registry, entry
-from harness2.fronts import Front, Record, free_port, run_case, settings, trouble, within
-from harness2.http import Arrival, ChunkServer, Client
-
-BETWEEN_CONFIGURATIONS = 1.0  # seconds from one SIGHUP to the next
-ANSWERS_AFTER = 0.03  # seconds after the watch at the third agent has begun, at which the slow one answers
-LISTED = 900  # chunk servers in the list: the pages name fleets of up to 3,200
-OLD_AGENT_CLOSES = 1.5  # seconds after SIGHUP at which the old agent closes its connections (LATER.md)
-# Discovery is a service that the fronts share and ask; AskEveryS is as the wire page's example has it.
-ASKED = settings(Discovery="subscribe")
-ASKED["Safety"]["AskEveryS"] = 10.0
-ASKED["Extra"]["Shards"] = LISTED + 2
-COUNTS_AS_TOLD = 6.0  # seconds after which what discovery has counts as told at the latest
-GRACE = 1.0 + 0.05  # seconds: StopSendingWithinS of the settings, and the 50 ms of the protocol page
-REQUEST_INTERVAL = 0.25  # seconds
-
-
-class Scene:
-    """The chunk servers, the three agents with one registry, the front and a client."""
-
-    def __init__(self, record: Record, folder: Path) -> None:
+from harness2.fronts import Front, Record, run_case, settings, trouble, within
+
+FIRST_PART = 30_000  # bytes of the answer that are written before the chunk server hangs
+REST = 90_000  # bytes after it; with the first part more than 64 KiB
+HANG = 1.0  # seconds
+WAIT_MS = 400  # that the client waits; above 64 KiB the first bytes are timed
+READS = 3
+PAUSE = 1.0  # seconds between two reads
+PATIENCE = 6.0  # seconds that the client reads on
+
+
+class SlowServer:
+    """A chunk server whose answers are chunked, and which may hang within them."""
+
+    def __init__(self, record: Record) -> None:
         self.record = record
-        self.drained = False
-        self.servers = {
-            name: ChunkServer(name, shard, record, self.work)
-            for name, shard in (("s-1", 0), ("s-2", 1), ("s-3", 1))
-        }
-        self.registry = Registry([])
-        self.agents = {name: Agent(name, self.registry, record) for name in "ABC"}
-        self.front = Front(record, folder)
-        self.client = Client(self.front.port, record)
-
-    async def work(self, arrival: Arrival) -> bytes | None:
-        """Run a request; a chunk server that drains turns it away, unrun."""
-        await asyncio.sleep(0.02)
-        if arrival.server == "s-2" and self.drained:
-            return None
-        return b"from " + arrival.server.encode()
+        self.port = 0
+        self.given: dict[
+            str, int
+        ] = {}  # bytes of each answer that were written to a connection that was open
 
     async def start(self) -> None:
-        """Start everything."""
-        for server in self.servers.values():
-            await server.start()
-        for agent in self.agents.values():
-            await agent.start()
-        unused_port = free_port()  # of the listed chunk servers that no request is for
-        known = [entry("s-1", self.servers["s-1"].port, 0), entry("s-2", self.servers["s-2"].port, 1)]
-        known += [entry(f"o-{number}", unused_port, number + 2) for number in range(LISTED)]
-        self.registry.entries = {one["instanceId"]: one for one in known}
-        self.front.write_config(self.agents["A"].port, self.registry.whole(), ASKED)
-        await self.front.start()
-        await within(5.0, lambda: self.agents["A"].open_watches > 0, "a watch at A")
-        for shard in (0, 1):
-            await self.client.read(shard)
-
-    async def slow_answer(self) -> None:
-        """Wait until the front has the third agent's list, and a moment more."""
-        while not self.agents["C"].open_watches:  # noqa: ASYNC110  the agent has no event for it
-            await asyncio.sleep(0.005)
-        await asyncio.sleep(ANSWERS_AFTER)
-
-    async def move_discovery(self, old: str, new: str) -> None:
-        """Give the front a configuration that names another agent."""
-        self.front.write_config(self.agents[new].port, self.registry.whole(), ASKED)
-        self.agents[old].stop_accepting()
-        asyncio.get_running_loop().call_later(OLD_AGENT_CLOSES, self.agents[old].close_connections)
-        self.front.signal(signal.SIGHUP)
-        await asyncio.sleep(BETWEEN_CONFIGURATIONS)
-
-    async def drain(self) -> float:
-        """Have s-3 take the place of s-2, which drains; return when that counts as told at the latest."""
-        changed_at = self.record.now()
-        self.drained = True
-        await self.registry.set(entry("s-3", self.servers["s-3"].port, 1))
-        await self.registry.set(entry("s-2", self.servers["s-2"].port, 1, "DRAINING"))
-        self.record.add("discovery has: s-2 drains, s-3 serves its shard")
-        return changed_at + COUNTS_AS_TOLD
-
-    async def read_until(self, end: float) -> None:
-        """Read from the shard whose chunk server is replaced."""
-        served = 0
-        while self.record.now() < end:
-            status, _ = await self.client.read(1)
-            served += status == 200
-            await asyncio.sleep(REQUEST_INTERVAL)
-        arrivals = {name: len(server.arrivals) for name, server in self.servers.items()}
-        self.record.add(f"after the change: {served} served; attempts in all: {arrivals}")
+        """Listen."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                trace = head.partition("X-Trace-Id: ")[2].partition("\r\n")[0]
+                self.record.add(f"s-1: gets and runs {trace}")
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                await self._write(writer, trace, FIRST_PART)
+                if trouble():
+                    await asyncio.sleep(HANG)
+                if reader.at_eof() or writer.transport.is_closing():
+                    self.record.add(f"s-1: the front has ended the connection of {trace}, it gave on")
+                    return
+                await self._write(writer, trace, REST)
+                writer.write(b"0\r\n\r\n")
+                await writer.drain()
+                self.record.add(f"s-1: has written all of {trace}")
+        except (OSError, EOFError):
+            pass
+        finally:
+            writer.close()
+
+    async def _write(self, writer: asyncio.StreamWriter, trace: str, size: int) -> None:
+        writer.write(b"%x\r\n%b\r\n" % (size, bytes(size)))
+        await writer.drain()
+        self.given[trace] = self.given.get(trace, 0) + size
+
+
+async def read_long(port: int, record: Record) -> str:
+    """Send a read, and read its answer to the end; return what is wrong with it."""
+    trace = secrets.token_hex(8)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 20)
+    writer.write(
+        f"GET /api?block={1:016x} HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: {trace}\r\n"
+        f"X-Qos: tile-read\r\nX-Plan: research\r\nX-Expires-In-Ms: {WAIT_MS}\r\n"
+        "X-IO: volume=00000000000000a1,units=1,shard=0,hosts=1\r\n\r\n".encode()
+    )
+    sent_at = record.now()
+    received = 0
+    try:
+        async with asyncio.timeout(PATIENCE):
+            head = await reader.readuntil(b"\r\n\r\n")
+            status = head[9:12].decode()
+            record.add(
+                f"client: status {status} of {trace}, {record.now() - sent_at:.2f} s after it was sent"
+            )
+            if status != "200":
+                return ""  # failed or refused in time
+            length = head.lower().partition(b"content-length:")[2].partition(b"\r\n")[0]
+            if length:  # how an answer is framed is free
+                received = len(await reader.readexactly(int(length)))
+            else:
+                while size := int(await reader.readuntil(b"\r\n"), 16):
+                    received += len(await reader.readexactly(size + 2)) - 2
+    except (OSError, EOFError, ValueError) as error:
+        text = f"the answer to {trace} was cut off after {received} bytes, {record.now() - sent_at:.2f} s on"
+        record.add(f"client: {text}, {type(error).__name__}")
+        return text
+    except TimeoutError:
+        return f"the answer to {trace} did not end within {PATIENCE} s"
+    finally:
+        writer.close()
+    record.add(f"client: has all {received} bytes of {trace}")
+    return ""
 
 
 async def play(record: Record, folder: Path) -> list[str]:
-    """Move discovery twice, then let it tell of a drain, and see where requests go."""
-    scene = Scene(record, folder)
-    if trouble():
-        scene.agents["B"].wait_before_list = scene.slow_answer
+    """Read long answers one after the other."""
+    server = SlowServer(record)
+    await server.start()
+    registry = Registry([entry("s-1", server.port, 0)])
+    agent = Agent("A", registry, record)
+    await agent.start()
+    front = Front(record, folder)
+    front.write_config(agent.port, registry.whole(), settings())
     try:
-        await scene.start()
-        await asyncio.sleep(1.5)  # no SIGHUP comes in the first second
-        await scene.move_discovery("A", "B")
-        await scene.move_discovery("B", "C")
-        await asyncio.sleep(5.0)  # what discovery has counts as told 4 s after SIGHUP
-        record.add(f"watches open at C: {scene.agents['C'].open_watches}")
-        told_at = await scene.drain()
-        await scene.read_until(told_at + GRACE + 4.0)
-        scene.client.close()
+        await front.start()
+        await within(5.0, lambda: agent.open_watches > 0, "a watch")
+        breaks = []
+        for _ in range(READS):
+            breaks.append(await read_long(front.port, record))
+            await asyncio.sleep(PAUSE)
+        return [text for text in breaks if text]
     finally:
-        await scene.front.kill()
-    return [
-        f"{one.trace} reached s-2 {one.first_byte_at - told_at:.2f} s after its drain was told"
-        for one in scene.servers["s-2"].arrivals
-        if one.first_byte_at > told_at + GRACE
-    ]
+        await front.kill()
 
 
 run_case(__file__, play)
