Review: give fronts ports that the system hands to nobody else

Done: its front could not bind its port, which the system had given to another connection in between; ports are taken from below that range now.

--- a/review/harness2/fronts.py
+++ b/review/harness2/fronts.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -20,6 +21,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 READY_TIMEOUT = 30.0  # seconds that the pages give a front to be ready
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LISTENING_PORTS = range(12_000, 30_000)  # below the ports of outgoing connections, as Linux has them
 # What a front's log says about its course; the rest of the log is not part of the record.
 LOGGED = (
     "ready",
@@ -65,10 +67,13 @@
 
 
 def free_port(host: str = "127.0.0.1") -> int:
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+    """Return a TCP port that is free now, of those that the system gives to nobody by itself."""
+    for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((host, port))
+            return port
+    msg = "no port is free"
+    raise CaseError(msg)
 
 
 def settings(**changes: Any) -> dict[str, Any]:
