--- a/review/7/case.py
+++ b/review/7/case.py
@@ -136,4 +136,4 @@
     return [platform.killed] if platform.killed else []
 
 
-run_case(__file__, play)
+run_case(play)  # writes record.txt, the path that run.sh names
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -120,4 +120,4 @@
         await front.kill()
 
 
-run_case(__file__, play)
+run_case(play)  # writes record.txt, the path that run.sh names
--- a/review/harness2/fronts.py
+++ b/review/harness2/fronts.py
@@ -49,10 +49,9 @@
 class Record:
     """The record of one run: a line for each thing that was sent, answered or run."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self.began = time.monotonic()
-        self.lines: list[str] = []
-        self.path = folder / "record.txt"
+        self.path = path
         self.path.write_text("")
 
     def now(self) -> float:
@@ -258,9 +257,12 @@
         raise CaseError(msg) from error
 
 
-def run_case(case_file: str, play: Callable[[Record, Path], Awaitable[list[str]]]) -> None:
-    """Play a case and exit: 1 if it returns what broke the rule, 0 if nothing did, 2 if it could not run."""
-    record = Record(Path(case_file).resolve().parent)
+def run_case(play: Callable[[Record, Path], Awaitable[list[str]]]) -> None:
+    """Play a case and exit: 1 if it returns what broke the rule, 0 if nothing did, 2 if it could not run.
+
+    The first argument of the process is the path of the record, record.txt in the case's folder.
+    """
+    record = Record(Path(sys.argv[1]))
     folder = Path(tempfile.mkdtemp(prefix="review-case-"))
     status = NOT_RUN
     try:
