Don't cut off answers of unknown length at a pause: forward only those that look long

Cause: at the attempt's end response_wait.py forwarded every answer without a known length, as it might be long, and streamed_body.py ended it 0.4 s later like a short one. Once a byte is forwarded no choice is left: a long answer must not be cut off, a short one must end within 0.5 s of its time.

Evidence: the cut comes 0.4 s after the attempt's time whenever the last byte came, not after the idle limit of 10 s, and not once 64 KiB have come.

Change: the decision is made once and kept. At the attempt's end an answer without a known length is forwarded only if it has 16 KiB and makes progress, and is then awaited like a long one; otherwise, and in a shutdown, it is given up in time, with a retry where there is time for one. Where memory allows fewer open requests than connections, three quarters of them at most may have an answer that is forwarded as it arrives: hung servers leave the others to usual clients. The log tells how much had come and for how long nothing had.

Why it works: nothing of an answer is forwarded that may still have to be cut off in time.

Cost: a long answer that has stalled at its attempt's end fails in time; before, it came whole if its server went on within 0.4 s.

--- a/cleatyoke/http/backend_connection.py
+++ b/cleatyoke/http/backend_connection.py
@@ -152,14 +152,20 @@
         self._response_timer = self.loop.call_at(at, self._check_response, reader, self._wait)
 
     def _check_response(self, reader: ResponseReader, wait: ResponseWait) -> None:
-        match wait.next_step(reader.state, self.loop.time()):
+        now = self.loop.time()
+        fields = {
+            "state": reader.state.name,
+            "body_bytes": reader.body_bytes(),
+            "silent_seconds": round(wait.silence(now), 3),
+        }
+        match wait.next_step(reader.state, now):
             case NextStep.WAIT:
                 self._schedule_check(reader)
             case NextStep.STREAM | NextStep.USE_HEAD:
-                log.info("response_incomplete", state=reader.state.name)
+                log.info("response_incomplete", **fields)
                 self._complete(reader, reader.begin_streaming())
             case NextStep.GIVE_UP:
-                log.info("response_given_up", state=reader.state.name)
+                log.info("response_given_up", **fields)
                 self._fail(MalformedResponseError("timed out within a response"))
 
     def eof_received(self) -> None:
--- a/cleatyoke/http/response_wait.py
+++ b/cleatyoke/http/response_wait.py
@@ -2,8 +2,13 @@
 
 A backend may write a sound response slowly, and a faulty one may never end: only time tells them apart. Until
 late in the client's time the rest is awaited. Then a response of which nothing has come for long is given up,
-if there is time for a retry; and one without a known length is forwarded as far as it has come, as it may be
-a long one, of which only the first bytes have to be in time (operations page, Less room).
+if there is time for a retry.
+
+A response without a known length may still be short or long at the end of that time. A long one has to begin
+in time and may end late, whatever its pauses (operations page, Less room). A short one has to end by then,
+and a client that has been sent the beginning of it can only be cut off. So it is forwarded only if it makes
+progress and has grown beyond usual short ones, and is then awaited like one that is known to be long.
+Otherwise it is given up in time, while the client can still be told so.
 """
 
 from __future__ import annotations
@@ -11,9 +16,13 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
+from cleatyoke.limits.memory_budget import KIBIBYTE
+
 RETRY_TIME = 0.15  # seconds left to a retry; backends answer an average request within a third of it
 MAX_RETRY_FRACTION = 1 / 4  # of the remaining time that is left to a retry
 STALL_FRACTION = 2 / 3  # of the time waited so far: a response that is silent for so long counts as stalled
+MIN_FORWARDED_BYTES = 16 * KIBIBYTE  # of an incomplete body without a length: more than most short ones have
+MIN_OBSERVED_TIME = 0.1  # seconds from its first byte, in which it has to make progress to be forwarded
 STREAMING_MARGIN = 0.02  # seconds before the attempt's timeout at which an incomplete response is forwarded
 ERROR_BODY_TIMEOUT = 0.05  # seconds for the body of an error: its head is sufficient
 
@@ -33,20 +42,28 @@
     HEAD_INCOMPLETE = auto()
     ERROR = auto()  # the head of a response with another status than 200
     LENGTH_KNOWN = auto()  # a short one that is buffered until it is complete
-    LENGTH_UNKNOWN = auto()
+    SHORT_SO_FAR = auto()  # without a known length, and below ``MIN_FORWARDED_BYTES``
+    LENGTH_UNKNOWN = auto()  # without a known length, and beyond that
 
 
 class ResponseWait:
     """The waiting for one response. Times are in seconds on the caller's clock.
 
     ``not_after``: when the attempt times out. ``may_retry``: another attempt is allowed after this one.
-    ``on_begun``: called at the first byte.
+    ``on_begun``: called at the first byte. ``may_forward``: whether an incomplete response may be forwarded
+    at the end, which a process that is about to exit could not complete.
     """
 
     def __init__(
-        self, not_after: float, *, may_retry: bool = False, on_begun: Callable[[], None] | None = None
+        self,
+        not_after: float,
+        *,
+        may_retry: bool = False,
+        on_begun: Callable[[], None] | None = None,
+        may_forward: Callable[[], bool] = lambda: True,
     ) -> None:
         self.not_after = not_after
+        self.may_forward = may_forward
         self._on_begun = on_begun
         self._may_retry = may_retry
         self._began_at: float | None = None
@@ -77,8 +94,18 @@
             return NextStep.USE_HEAD
         if now < self.not_after - STREAMING_MARGIN:
             return NextStep.GIVE_UP if self._may_retry and self._is_stalled(now) else NextStep.WAIT
-        return NextStep.STREAM if state is ResponseState.LENGTH_UNKNOWN else NextStep.GIVE_UP
+        if state is not ResponseState.LENGTH_UNKNOWN or not self.may_forward():
+            return NextStep.GIVE_UP
+        return NextStep.STREAM if self._makes_progress(now) else NextStep.GIVE_UP
+
+    def silence(self, now: float) -> float:
+        """Return the seconds since the last received bytes."""
+        return now - self._last_received_at
+
+    def _makes_progress(self, now: float) -> bool:
+        assert self._began_at is not None
+        return now - self._began_at >= MIN_OBSERVED_TIME and not self._is_stalled(now)
 
     def _is_stalled(self, now: float) -> bool:
         assert self._began_at is not None
-        return now - self._last_received_at >= (now - self._began_at) * STALL_FRACTION
+        return self.silence(now) >= (now - self._began_at) * STALL_FRACTION
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -95,6 +95,7 @@
         self.is_closing = False
         self.listener: Listener | None = None
         self.address = config.listen
+        self._streams = 0  # answers that are being forwarded as they arrive
         self._logged_at: dict[str, float] = {}  # loop time by event
         self._responses_due_at: float | None = None  # Unix time, during a shutdown
         self._idle_check_timer: asyncio.TimerHandle | None = None
@@ -276,6 +277,7 @@
                 not_after,
                 may_retry=self.core.may_retry(arrival),
                 on_begun=partial(self.core.note_answer_begun, arrival.request_id),
+                may_forward=lambda: self._responses_due_at is None,
             )
 
             def may_send() -> bool:
@@ -310,8 +312,7 @@
         self.body_memory.release(client)
         match served:
             case Served(StreamedBody() as body):
-                closes = self._closes_after_response(request, client)
-                return await forward_streamed_body(body, request, self.answers, closes_connection=closes)
+                return await self._forward(body, request, client)
             case Served(body):
                 assert not isinstance(body, StreamedBody)
                 client.hold_answer(len(body or b""), self.answers)
@@ -322,6 +323,26 @@
             case Failed():
                 return web.Response(status=502)
 
+    async def _forward(
+        self, body: StreamedBody, request: web.BaseRequest, client: ClientConnection
+    ) -> web.StreamResponse:
+        """Forward a long answer, or fail the request if too many are being forwarded.
+
+        Each holds an open request for as long as its backend or its client likes, so a part of the open
+        requests is left to short answers.
+        """
+        if self._streams >= self.config.memory.max_streams() and not body.is_short:
+            body.close()
+            if self._may_log("stream_refused"):
+                log.warning("stream_refused", streams=self._streams)
+            return web.Response(status=502)
+        self._streams += 1
+        try:
+            closes = self._closes_after_response(request, client)
+            return await forward_streamed_body(body, request, self.answers, closes_connection=closes)
+        finally:
+            self._streams -= 1
+
     def _count_rejected(self, class_name: str) -> None:
         """Count and log a request that was rejected before it was open."""
         if class_name in self.config.classes:
--- a/cleatyoke/http/streamed_body.py
+++ b/cleatyoke/http/streamed_body.py
@@ -7,12 +7,13 @@
 from typing import Protocol
 
 from cleatyoke.http.messages import MalformedResponseError
+from cleatyoke.http.response_wait import MIN_FORWARDED_BYTES
 from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.transport.sockets import limit_read_size
 
 STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte from the backend after which a streamed body fails
-# The same for a body that may be short, once its request's time is up: the final answer to a request may come
-# half a second late (standing test), and attempts end shortly before the client's deadline.
+# The same for a short body, once its request's time is up: the final answer to a request may come half a
+# second late (standing test), and attempts end shortly before the client's deadline.
 SHORT_BODY_IDLE_TIMEOUT = 0.4
 
 
@@ -32,9 +33,9 @@
     Nothing is read before ``start``, and while the body is paused. Beyond the first piece, which came with
     the head, nothing is buffered here: each piece is passed on as it is received. The owner must close the
     body. If the backend sends nothing for ``STREAM_IDLE_TIMEOUT`` seconds, the body fails; a body that is not
-    started in that time fails and closes itself, so that its connection is not leaked. Until a body is known
-    to be a long one, ``SHORT_BODY_IDLE_TIMEOUT`` applies after ``not_after``, the loop time at which the
-    attempt would have timed out.
+    started in that time fails and closes itself, so that its connection is not leaked. For a body that is
+    short, or below ``MIN_FORWARDED_BYTES`` so far, ``SHORT_BODY_IDLE_TIMEOUT`` applies after ``not_after``,
+    the loop time at which the attempt would have timed out: these are streamed where memory is short.
     """
 
     def __init__(
@@ -61,6 +62,11 @@
         self._idle_timer = self._loop.call_at(self._idle_at(), self._time_out)
         transport.pause_reading()
 
+    @property
+    def is_short(self) -> bool:
+        """Whether the whole body is known to be a short one, which is streamed for lack of memory."""
+        return self.length is not None and self.length <= MAX_UNSTREAMED_BYTES
+
     def start(self, receiver: BodyReceiver) -> None:
         """Deliver what has been received, and read on."""
         self._receiver = receiver
@@ -133,7 +139,8 @@
     def _idle_at(self) -> float:
         """Return the loop time at which the body fails if nothing is received until then."""
         now = self._loop.time()
-        if self._size > MAX_UNSTREAMED_BYTES:
+        min_long = MIN_FORWARDED_BYTES if self.length is None else MAX_UNSTREAMED_BYTES + 1
+        if self._size >= min_long:
             return now + STREAM_IDLE_TIMEOUT
         return max(now, self._not_after) + SHORT_BODY_IDLE_TIMEOUT
 
--- a/cleatyoke/limits/memory_budget.py
+++ b/cleatyoke/limits/memory_budget.py
@@ -36,6 +36,7 @@
 # each (45 KiB), and keeps the rest of the last read.
 OPEN_LONG_BODY_BYTES = 64 * KIBIBYTE
 _IDLE_CLIENTS_FRACTION = 0.4  # of the connections
+_STREAMS_FRACTION = 0.75  # of the open requests: the others are left to short answers
 _SHORT_BODIES_DIVISOR = 3  # this part of the open requests may have short bodies
 # Of a session of the file service: the command in hand and the next one (66 KiB each, and decoded), its
 # reply, and what the client's and the backend's connections buffer.
@@ -94,6 +95,15 @@
     answers: int  # streamed answers beyond ``MIN_PIECE_BYTES`` for each request, and undelivered answers
     files: int  # handles, uploads, listings and waiting commands of the file service; 0 if it is off
 
+    def max_streams(self) -> int:
+        """Return how many of the open requests may have an answer that is forwarded as it arrives.
+
+        All of them, if each connection may have an open request: then none is kept from another client.
+        """
+        if self.open_requests >= self.clients:
+            return self.open_requests
+        return max(1, int(self.open_requests * _STREAMS_FRACTION))
+
     def counted_bytes(self) -> int:
         """Return what the process, the connections, the open requests and the file sessions take."""
         return (
