Divide limits anew only for changes of 16 sockets, and judge what fits by the size alone

Seen in reading: while an old process with more than its part of the sockets closes them one by one, the new one would divide its limits anew, and log it, with each of them. And beside a waiting process the old one measured a smaller part of the libraries' pages, so in a band of some 2 MB it gave up its part for one that could not start.

--- a/cleatyoke/process/shared_limits.py
+++ b/cleatyoke/process/shared_limits.py
@@ -23,6 +23,7 @@
 
 POLL_INTERVAL = 0.05  # seconds
 MIN_SHARE_CHANGE = 1 * MEBIBYTE  # smaller changes do not divide the share anew
+MIN_SOCKETS_CHANGE = 16  # likewise
 MIN_REPORTED_CHANGE = MEBIBYTE // 4  # of what this process may take
 # Seconds after its share was reduced, after which a process takes back what bodies have reserved and not
 # received: most uploads are complete until then.
@@ -50,6 +51,7 @@
         self._measure_memory = measure
         self._is_measured = started_with is not None
         self._size = started_with or ProcessSize(DEFAULT_PROCESS_BYTES, 0)
+        self._size_alone = self._size  # as last measured without another process
         self._files = LimitFiles(str(folder)) if folder else None
         self._record = self._files.new_record() if self._files else LimitRecord(0)
         self._others: list[LimitRecord] = []  # as last read
@@ -63,7 +65,7 @@
         self._limit_reservations: Callable[[], None] = lambda: None
         self.poll_timer = PeriodicCall(faults, "limits", POLL_INTERVAL, self.poll)
         self._read_others()
-        self.share = LimitShare.of(limits, self._others, self._size)
+        self.share = LimitShare.of(limits, self._others, self._size_alone)
         self.budget = self._divide()
         self._report(LimitUse())
 
@@ -95,7 +97,7 @@
         self._read_others()
         if self._others:
             self._measure()
-        share = LimitShare.of(self.limits, self._others, self._size)
+        share = LimitShare.of(self.limits, self._others, self._size_alone)
         if self._is_different(share):
             self._change_share(share)
         use = self._use()
@@ -115,13 +117,14 @@
         return (
             share.processes != self.share.processes
             or abs(self._size.total - self._divided_for.total) >= MIN_SHARE_CHANGE
-            or share.sockets != self.share.sockets
+            or abs(share.sockets - self.share.sockets) >= MIN_SOCKETS_CHANGE
             or abs(share.memory - self.share.memory) >= MIN_SHARE_CHANGE
         )
 
     def _change_share(self, share: LimitShare) -> None:
         if not self._others:
             self._measure()  # the libraries' pages are its own again
+            self._size_alone = self._size
         if share.memory < self.share.memory:
             self._reduced_at = time.monotonic()
         self.share = share
@@ -216,7 +219,7 @@
             log.warning("memory_limit_too_low", **fields)
         else:
             log.info("memory_divided", **fields)
-        if self.limits.may_be_upgraded and not self._size.fits(self.limits, 2):
+        if self.limits.may_be_upgraded and not self._size_alone.fits(self.limits, 2):
             log.warning("memory_limit_too_low_for_upgrade", **fields)
 
 
