Count a sibling process by its start time too, so that a used-again id keeps no share

What callers would see: a process that was killed leaves its marker; while it is a zombie, or once its id is used again, the front counted it as running and used half of each rate limit for good.

Cause: SiblingProcesses asked with kill(pid, 0) alone, and the new records did not apply to a marker beside a record of an earlier process.

Change: both read the processes through LimitFiles, which checks the record's start time and the state in /proc. The marker of an older release, which has no record, counts by its id as before.

--- a/cleatyoke/limits/limit_record.py
+++ b/cleatyoke/limits/limit_record.py
@@ -21,6 +21,7 @@
         self.memory = 0  # that it may take
         self.process = 0  # that is its own and taken before it serves, as by the next process
         self.sockets = 0  # that it may hold
+        self.is_marked = False  # it is past its imports; not part of the encoded record
 
     def encode(self) -> str:
         """Return the record as one line."""
--- a/cleatyoke/process/limit_files.py
+++ b/cleatyoke/process/limit_files.py
@@ -7,7 +7,9 @@
 from cleatyoke.limits.limit_record import LimitRecord
 
 RECORD_PREFIX = "cleatyoke-limits-"  # of a file's name in $TMPDIR; the process id follows
-MARKER_PREFIX = "cleatyoke-life-"  # of the marker that older releases have without a record
+# Prefix of the name of an empty marker file, which a process has from the end of its imports on. Older
+# releases use the same name and have no record, so it must not change. "life" means a process.
+MARKER_PREFIX = "cleatyoke-life-"
 _STATE_FIELD, _START_FIELD = 0, 19  # of /proc/PID/stat behind the command's name, from 0
 _ENDED_STATES = ("Z", "X", "x")  # it holds no memory any more
 
@@ -40,29 +42,36 @@
                 continue
 
     def read_others(self) -> list[LimitRecord]:
-        """Return the records of the other running processes. Raises ``OSError``."""
-        records: dict[int, LimitRecord] = {}
-        for name in os.listdir(self._folder):  # noqa: PTH208
-            prefix, _, digits = name.rpartition("-")
-            if f"{prefix}-" not in (RECORD_PREFIX, MARKER_PREFIX) or not digits.isdecimal():
+        """Return the records of the other running processes. Raises ``OSError``.
+
+        A process of an older release has only a marker, and so an empty record.
+        """
+        with os.scandir(self._folder) as entries:
+            names = [entry.name for entry in entries]
+        marked = _process_ids(names, MARKER_PREFIX)
+        records: list[LimitRecord] = []
+        for pid in marked | _process_ids(names, RECORD_PREFIX):
+            if pid == self._pid:
                 continue
-            pid = int(digits)
-            if pid != self._pid:
-                self._add(records, pid, has_record=f"{prefix}-" == RECORD_PREFIX)
-        return list(records.values())
-
-    def _add(self, records: dict[int, LimitRecord], pid: int, *, has_record: bool) -> None:
-        if has_record:
-            path = os.path.join(self._folder, f"{RECORD_PREFIX}{pid}")  # noqa: PTH118
-            try:
-                with open(path) as file:  # noqa: PTH123
-                    record = LimitRecord.decode(pid, file.read())
-            except FileNotFoundError:  # removed meanwhile
-                record = LimitRecord(pid)
-        else:
-            record = records.get(pid, LimitRecord(pid))
-        if is_running(record):
-            records[pid] = record
+            record = self._read(pid)
+            record.is_marked = pid in marked
+            if is_running(record):
+                records.append(record)
+        return records
+
+    def _read(self, pid: int) -> LimitRecord:
+        path = os.path.join(self._folder, f"{RECORD_PREFIX}{pid}")  # noqa: PTH118
+        try:
+            with open(path) as file:  # noqa: PTH123
+                return LimitRecord.decode(pid, file.read())
+        except FileNotFoundError:
+            return LimitRecord(pid)
+
+
+def _process_ids(names: list[str], prefix: str) -> set[int]:
+    """Return the process ids in the names of files with this prefix."""
+    ids = [name.removeprefix(prefix) for name in names if name.startswith(prefix)]
+    return {int(text) for text in ids if text.isascii() and text.isdecimal()}
 
 
 def is_running(record: LimitRecord) -> bool:
--- a/cleatyoke/process/sibling_processes.py
+++ b/cleatyoke/process/sibling_processes.py
@@ -10,12 +10,10 @@
 import structlog
 
 from cleatyoke.process.faults import Faults, PeriodicCall
+from cleatyoke.process.limit_files import MARKER_PREFIX, LimitFiles
 from cleatyoke.scheduling.events import QuotaShareChanged, SchedulerEvent
 from cleatyoke.scheduling.settings import SchedulerSettings
 
-# Prefix of the name of an empty marker file in $TMPDIR; the process id follows. Older releases use the same
-# name, so it must not change. "life" in it, and the step "lives" in the log, mean processes.
-MARKER_PREFIX = "cleatyoke-life-"
 # Seconds from its marker until a new process uses its share: the others have seen the marker by then.
 TAKEOVER_DELAY = 0.15
 SIBLING_POLL_INTERVAL = 0.05  # seconds; a process could exhaust the slack of a rate limit in 0.3 s
@@ -38,6 +36,7 @@
         self, folder: Path, settings: SchedulerSettings, faults: Faults, process_started_at: float
     ) -> None:
         self.folder = folder
+        self._files = LimitFiles(str(folder))
         self.marker = folder / f"{MARKER_PREFIX}{os.getpid()}"
         self.poll_timer = PeriodicCall(faults, "lives", SIBLING_POLL_INTERVAL, self.poll)
         self._notify: Callable[[SchedulerEvent], None] = _ignore
@@ -73,15 +72,11 @@
 
     def _count_others(self) -> int:
         try:
-            with os.scandir(self.folder) as entries:
-                names = [entry.name for entry in entries if entry.name.startswith(MARKER_PREFIX)]
+            records = self._files.read_others()
         except OSError as error:
             self._log_once("process_markers_not_read", error)
-            return self._others
-        pids = [name.removeprefix(MARKER_PREFIX) for name in names]
-        self._others = sum(
-            1 for pid in pids if pid.isdecimal() and int(pid) != os.getpid() and _is_running(int(pid))
-        )
+        else:
+            self._others = sum(record.is_marked for record in records)
         return self._others
 
     def _write_marker(self) -> None:
@@ -99,15 +94,5 @@
             self._logged.add(event)
 
 
-def _is_running(pid: int) -> bool:
-    try:
-        os.kill(pid, 0)
-    except ProcessLookupError:
-        return False
-    except OSError:
-        return True  # the process exists but belongs to another user
-    return True
-
-
 def _ignore(_event: SchedulerEvent) -> None:
     """Stand-in for ``notify`` before ``start``."""
--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -18,6 +18,8 @@
 from cleatyoke.process.limit_files import MARKER_PREFIX, RECORD_PREFIX, LimitFiles, process_start
 from cleatyoke.process.metrics import Metrics
 from cleatyoke.process.shared_limits import RESERVATION_GRACE, SharedLimits
+from cleatyoke.process.sibling_processes import SiblingProcesses
+from tests.scripted_peers import config
 
 PROCESS = ProcessSize(anonymous=20 * MEBIBYTE, shared=8 * MEBIBYTE)
 MEMORY_MB = [64, 72, 96, 128, 192]
@@ -134,6 +136,19 @@
         path.write_text(f"started={started} memory=5\n")
         assert [other.memory for other in files.read_others()] == [5]
 
+    def test_marker_beside_a_record_of_an_earlier_process_does_not_count(self, tmp_path: Path) -> None:
+        # A killed process leaves both files; its id used again would halve every rate limit for good.
+        started = process_start(os.getppid())
+        assert started
+        (tmp_path / f"{MARKER_PREFIX}{os.getppid()}").write_text("")
+        (tmp_path / f"{RECORD_PREFIX}{os.getppid()}").write_text(f"started={started + 1} memory=5\n")
+        assert LimitFiles(str(tmp_path)).read_others() == []
+        siblings = SiblingProcesses(tmp_path, config().settings, Faults(Metrics()), 50.0)
+        assert siblings.quota_share == 1.0
+        (tmp_path / f"{RECORD_PREFIX}{os.getppid()}").write_text(f"started={started} memory=5\n")
+        siblings.poll()
+        assert siblings.quota_share == 0.5
+
     def test_marker_of_an_older_release_counts_without_figures(self, tmp_path: Path) -> None:
         (tmp_path / f"{MARKER_PREFIX}{os.getppid()}").write_text("")
         files = LimitFiles(str(tmp_path))
