Log which way a response took and why it failed, with its request's id

Change: response_given_up and response_incomplete have the trace id. StreamReason says why a response is forwarded before its end, and streamed_response_failed logs it with the bytes, the silence and the time that is overdue.

--- a/cleatyoke/http/backend_connection.py
+++ b/cleatyoke/http/backend_connection.py
@@ -15,7 +15,7 @@
 
 from cleatyoke.http.answers import BackendResponse, ResponseReader
 from cleatyoke.http.messages import MalformedResponseError
-from cleatyoke.http.response_wait import NextStep, ResponseWait
+from cleatyoke.http.response_wait import NextStep, ResponseWait, StreamReason
 from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.limits.memory_pool import MemoryPool
@@ -96,40 +96,42 @@
         if self._wait:
             self._wait.receive(self.loop.time())
         try:
-            response = self._feed(self._reader, data)
+            response, reason = self._feed(self._reader, data)
         except MalformedResponseError as error:
             self._fail(error)
             return
         if response is None:
             self._schedule_check(self._reader)
         else:
-            self._complete(self._reader, response)
+            self._complete(self._reader, response, reason)
 
-    def _complete(self, reader: ResponseReader, response: BackendResponse) -> None:
-        """Return the response from ``exchange``."""
+    def _complete(
+        self, reader: ResponseReader, response: BackendResponse, reason: StreamReason = StreamReason.LONG
+    ) -> None:
+        """Return the response from ``exchange``; ``reason``: why it is streamed, if it is."""
         if self._response is None or self._response.done():
             return
         if response.is_streamed:
-            self._begin_streaming(reader, response)
+            self._begin_streaming(reader, response, reason)
         self._response.set_result(response)
 
-    def _feed(self, reader: ResponseReader, data: bytes) -> BackendResponse | None:
+    def _feed(self, reader: ResponseReader, data: bytes) -> tuple[BackendResponse | None, StreamReason]:
         response = reader.feed(data)
         if response is not None or not reader.is_head_complete or self._reserved_bytes:
-            return response
+            return response, StreamReason.LONG
         size = reader.max_buffered_bytes()
         # Undelivered answers need the other half; once all is used, new requests are rejected.
         if not self.answers.reserve(size, headroom=self.answers.total // 2):
-            return reader.begin_streaming()
+            return reader.begin_streaming(), StreamReason.NO_MEMORY
         self._reserved_bytes = size
-        return None
+        return None, StreamReason.LONG
 
-    def _begin_streaming(self, reader: ResponseReader, response: BackendResponse) -> None:
+    def _begin_streaming(
+        self, reader: ResponseReader, response: BackendResponse, reason: StreamReason
+    ) -> None:
         assert self.transport
         assert self._wait
-        body = StreamedBody(
-            self.transport, response.body, response.length, self._wait.not_after, self.end_streaming
-        )
+        body = StreamedBody(self.transport, response, self._wait, reason, self.end_streaming)
         self.streamed_body = body
         if reader.is_complete:
             body.finish(connection_reusable=reader.is_connection_reusable())
@@ -154,6 +156,7 @@
     def _check_response(self, reader: ResponseReader, wait: ResponseWait) -> None:
         now = self.loop.time()
         fields = {
+            "trace": wait.trace,
             "state": reader.state.name,
             "body_bytes": reader.body_bytes(),
             "silent_seconds": round(wait.silence(now), 3),
@@ -163,7 +166,7 @@
                 self._schedule_check(reader)
             case NextStep.STREAM | NextStep.USE_HEAD:
                 log.info("response_incomplete", **fields)
-                self._complete(reader, reader.begin_streaming())
+                self._complete(reader, reader.begin_streaming(), StreamReason.TIME_IS_UP)
             case NextStep.GIVE_UP:
                 log.info("response_given_up", **fields)
                 self._fail(MalformedResponseError("timed out within a response"))
--- a/cleatyoke/http/response_wait.py
+++ b/cleatyoke/http/response_wait.py
@@ -36,6 +36,14 @@
     GIVE_UP = auto()
 
 
+class StreamReason(Enum):
+    """Why a response is forwarded before its end."""
+
+    LONG = auto()  # it is longer than what is buffered
+    NO_MEMORY = auto()  # the memory that answers share is used up
+    TIME_IS_UP = auto()  # the client's time is nearly over, and its length is not known
+
+
 class ResponseState(Enum):
     """How much of a response has been received."""
 
@@ -51,7 +59,8 @@
 
     ``not_after``: when the attempt times out. ``may_retry``: another attempt is allowed after this one.
     ``on_begun``: called at the first byte. ``may_forward``: whether an incomplete response may be forwarded
-    at the end, which a process that is about to exit could not complete.
+    at the end, which a process that is about to exit could not complete. ``trace``: the request's id, for the
+    log.
     """
 
     def __init__(
@@ -61,8 +70,10 @@
         may_retry: bool = False,
         on_begun: Callable[[], None] | None = None,
         may_forward: Callable[[], bool] = lambda: True,
+        trace: str = "",
     ) -> None:
         self.not_after = not_after
+        self.trace = trace
         self.may_forward = may_forward
         self._on_begun = on_begun
         self._may_retry = may_retry
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -278,6 +278,7 @@
                 may_retry=self.core.may_retry(arrival),
                 on_begun=partial(self.core.note_answer_begun, arrival.request_id),
                 may_forward=lambda: self._responses_due_at is None,
+                trace=decoded.trace_id,
             )
 
             def may_send() -> bool:
--- a/cleatyoke/http/streamed_body.py
+++ b/cleatyoke/http/streamed_body.py
@@ -6,8 +6,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import structlog
+
+from cleatyoke.http.answers import BackendResponse
 from cleatyoke.http.messages import MalformedResponseError
-from cleatyoke.http.response_wait import MIN_FORWARDED_BYTES
+from cleatyoke.http.response_wait import MIN_FORWARDED_BYTES, ResponseWait, StreamReason
 from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.transport.sockets import limit_read_size
 
@@ -15,6 +18,7 @@
 # The same for a short body, once its request's time is up: the final answer to a request may come half a
 # second late (standing test), and attempts end shortly before the client's deadline.
 SHORT_BODY_IDLE_TIMEOUT = 0.4
+log = structlog.get_logger()
 
 
 class BodyReceiver(Protocol):
@@ -34,24 +38,27 @@
     the head, nothing is buffered here: each piece is passed on as it is received. The owner must close the
     body. If the backend sends nothing for ``STREAM_IDLE_TIMEOUT`` seconds, the body fails; a body that is not
     started in that time fails and closes itself, so that its connection is not leaked. For a body that is
-    short, or below ``MIN_FORWARDED_BYTES`` so far, ``SHORT_BODY_IDLE_TIMEOUT`` applies after ``not_after``,
-    the loop time at which the attempt would have timed out: these are streamed where memory is short.
+    short, or below ``MIN_FORWARDED_BYTES`` so far, ``SHORT_BODY_IDLE_TIMEOUT`` applies after
+    ``wait.not_after``, the loop time at which the attempt would have timed out: these are streamed where
+    memory is short. ``reason``: why it is streamed, for the log.
     """
 
     def __init__(
         self,
         transport: asyncio.Transport,
-        first_piece: bytes,
-        length: int | None,
-        not_after: float,
+        response: BackendResponse,
+        wait: ResponseWait,
+        reason: StreamReason,
         on_detach: Callable[[], None],
     ) -> None:
-        self.length = length  # bytes; None if unknown until the end
+        self.length = response.length  # bytes; None if unknown until the end
         self.on_close: Callable[[bool], None] | None = None  # called with whether the connection is reusable
         self._transport = transport
-        self._first_piece = first_piece
-        self._size = max(len(first_piece), length or 0)  # known so far
-        self._not_after = not_after
+        self._first_piece = response.body
+        self._size = max(len(response.body), response.length or 0)  # known so far
+        self._received = len(response.body)  # bytes
+        self._wait = wait
+        self._reason = reason
         self._on_detach = on_detach  # makes the connection forget this body
         self._loop = asyncio.get_running_loop()
         self._receiver: BodyReceiver | None = None
@@ -96,6 +103,8 @@
     def append(self, piece: bytes) -> None:
         """Deliver bytes that the connection has received."""
         self._size = max(self._size, self.length or self._size + len(piece))
+        self._received += len(piece)
+        self._wait.receive(self._loop.time())
         self._restart_idle_timer()
         if piece and self._receiver:
             self._receiver.receive_piece(piece)
@@ -108,8 +117,9 @@
 
     def fail(self, error: MalformedResponseError) -> None:
         """Mark the body as failed, unless it is complete; the first error is kept."""
-        if not self._is_complete:
-            self._error = self._error or error
+        if not self._is_complete and self._error is None:
+            self._error = error
+            self._log_failure(error)
         self._report_end()
 
     def close(self) -> None:
@@ -142,7 +152,20 @@
         min_long = MIN_FORWARDED_BYTES if self.length is None else MAX_UNSTREAMED_BYTES + 1
         if self._size >= min_long:
             return now + STREAM_IDLE_TIMEOUT
-        return max(now, self._not_after) + SHORT_BODY_IDLE_TIMEOUT
+        return max(now, self._wait.not_after) + SHORT_BODY_IDLE_TIMEOUT
+
+    def _log_failure(self, error: MalformedResponseError) -> None:
+        now = self._loop.time()
+        log.info(
+            "streamed_response_failed",
+            trace=self._wait.trace,
+            reason=str(error),
+            streamed_for=self._reason.name,
+            length=self.length,
+            body_bytes=self._received,
+            silent_seconds=round(self._wait.silence(now), 3),
+            seconds_overdue=round(now - self._wait.not_after, 3),
+        )
 
     def _time_out(self) -> None:
         is_started = self._receiver is not None
