--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -3,48 +3,29 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from dataclasses import replace
 
 import pytest
 
 from cleatyoke.http.response_wait import NextStep, ResponseState, ResponseWait
-from tests.http_case import FrontCase
 from tests.scripted_peers import answer
-
-CHUNKED = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
-UNTIL_CLOSE = b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n"
-LAST_CHUNK = b"0\r\n\r\n"
-ANSWER_DUE = 0.4 + 0.5  # seconds: a client's wait, and what the standing test grants a final answer beyond it
-Part = float | bytes  # seconds of silence, or bytes; empty bytes close the connection
-
-
-def chunk(size: int) -> bytes:
-    return b"%x\r\n%b\r\n" % (size, bytes(size))
-
-
-def with_length(size: int) -> bytes:
-    return b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % size
-
-
-async def play(parts: list[Part]) -> AsyncIterator[bytes]:
-    for part in parts:
-        if isinstance(part, float):
-            await asyncio.sleep(part)
-        else:
-            yield part
-
-
-class SlowResponseTests(FrontCase):
-    async def start_playing(self, choose: Callable[[str, int], list[Part]]) -> None:
-        """``choose`` returns the parts of the response by trace id and number of the attempt, from 1."""
-
-        async def script(trace: str) -> AsyncIterator[bytes]:
-            return play(choose(trace, self.backend.counts[trace]))
-
-        await self.start_front(script)
-
+from tests.slow_response_case import (
+    CHUNKED,
+    GRACE,
+    LAST_CHUNK,
+    UNTIL_CLOSE,
+    Part,
+    SlowResponseCase,
+    chunk,
+    play,
+    with_length,
+)
+
+WAIT = 0.4  # seconds that clients wait here, if nothing else is said
+
+
+class SlowResponseTests(SlowResponseCase):
     async def test_sound_response_with_pauses_is_served_whole_by_one_attempt(self) -> None:
         # A pause of over 50 ms within a response made the front give up the attempt (issue 50, picture b).
         pause = 0.12
@@ -114,27 +95,9 @@
             writer.close()
             return asyncio.get_running_loop().time() - began
 
-        assert max(await asyncio.gather(*(ask(trace) for trace in forms))) < ANSWER_DUE
+        assert max(await asyncio.gather(*(ask(trace) for trace in forms))) < WAIT + GRACE
         assert set(self.backend.counts.values()) == {1}
 
-    async def read_answer(self, trace: str) -> tuple[bytes, int, bool, float]:
-        """Return the status of a read, the bytes of its body, whether it was whole, and the seconds."""
-        reader, writer = await self.connect(self.request_head(trace).replace(b"1500", b"400"))
-        began, received, is_whole = asyncio.get_running_loop().time(), 0, False
-        async with asyncio.timeout(15):
-            head = await reader.readuntil(b"\r\n\r\n")
-            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-                if b"Content-Length: " in head:
-                    length = int(head.partition(b"Content-Length: ")[2].partition(b"\r\n")[0])
-                    received = len(await reader.readexactly(length))
-                    is_whole = True
-                while not is_whole:
-                    size = int(await reader.readuntil(b"\r\n"), 16)
-                    received += len(await reader.readexactly(size + 2)) - 2
-                    is_whole = size == 0
-        writer.close()
-        return head[9:12], received, is_whole, asyncio.get_running_loop().time() - began
-
     async def test_answer_of_unknown_length_is_never_cut_off_at_a_pause(self) -> None:
         # A long answer that paused for over 0.4 s before its 64 KiB had come was cut off (review case 8).
         statuses: list[bytes] = []
@@ -148,10 +111,13 @@
                 }
                 await self.start_playing(lambda trace, _, forms=forms: forms[trace])
                 for trace in forms:
-                    status, received, is_whole, seconds = await self.read_answer(trace)
-                    assert is_whole, (trace, pause, status, received, seconds)
-                    assert received == 120_000 if status == b"200" else seconds < ANSWER_DUE, (trace, pause)
-                    statuses.append(status)
+                    got = await self.read_answer(trace)
+                    assert got.is_whole, (trace, pause, got)
+                    assert got.size == 120_000 if got.status == b"200" else got.ended < WAIT + GRACE, (
+                        trace,
+                        pause,
+                    )
+                    statuses.append(got.status)
                 await self.stop_front()
         assert statuses.count(b"200") >= 14  # all that make progress, and those with short pauses
 
@@ -164,10 +130,10 @@
                 }
                 await self.start_playing(lambda trace, _, forms=forms: forms[trace])
                 for trace in forms:
-                    status, _, is_whole, seconds = await self.read_answer(trace)
-                    assert is_whole, (trace, pause, status)
-                    assert seconds < ANSWER_DUE, (trace, pause)
-                    assert status == b"200" or pause > 0.1, (trace, pause)
+                    got = await self.read_answer(trace)
+                    assert got.is_whole, (trace, pause, got)
+                    assert got.ended < WAIT + GRACE, (trace, pause)
+                    assert got.status == b"200" or pause > 0.1, (trace, pause)
                 await self.stop_front()
 
     async def test_answer_that_pauses_while_the_front_shuts_down_is_not_begun(self) -> None:
@@ -177,10 +143,10 @@
         answer_task = asyncio.create_task(self.read_answer("t"))
         await asyncio.sleep(0.1)
         self.front.begin_shutdown(2.0)
-        status, _, is_whole, seconds = await answer_task
-        assert status in (b"502", b"503")
-        assert is_whole
-        assert seconds < ANSWER_DUE
+        got = await answer_task
+        assert got.status in (b"502", b"503")
+        assert got.is_whole
+        assert got.ended < WAIT + GRACE
 
     async def test_answers_that_hang_leave_open_requests_to_usual_clients(self) -> None:
         # Each answer that is being forwarded holds an open request for as long as its backend hangs.
@@ -196,7 +162,7 @@
         await self.wait_until(lambda: sum(task.done() for task in hung) == 4)
         for number in range(5):
             assert await self.send_request(f"usual-{number}") == (200, b"tile")
-        ended = [task.result()[0] for task in hung if task.done()]
+        ended = [task.result().status for task in hung if task.done()]
         assert ended == [b"502"] * 4  # nothing of these answers was forwarded
         for task in hung:
             task.cancel()
