End a short answer that is forwarded half a second after its time, however it trickles

An answer of 6,000 bytes in lumps 0.3 s apart to a write with 400 ms ended after 3.2 s; one of 100 bytes each 0.1 s after 9 s.

Cause: where the memory of answers is used up, a short answer that comes in parts is forwarded from its first byte. Its limit was SHORT_BODY_IDLE_TIMEOUT, 0.4 s after its time or after the last piece, whichever was later: each piece began it anew.

Change: a streamed body that is short, or may be, has one deadline, ResponseWait.answer_due_at, which pieces do not move. Only a client that is itself late with taking its answer moves it. What counts as long is unchanged here.

--- a/cleatyoke/http/response_wait.py
+++ b/cleatyoke/http/response_wait.py
@@ -25,6 +25,9 @@
 MIN_OBSERVED_TIME = 0.1  # seconds from its first byte, in which it has to make progress to be forwarded
 STREAMING_MARGIN = 0.02  # seconds before the attempt's timeout at which an incomplete response is forwarded
 ERROR_BODY_TIMEOUT = 0.05  # seconds for the body of an error: its head is sufficient
+# Seconds after the attempt's time in which a short answer has to end: the standing test grants half a second
+# beyond the client's deadline, and attempts end shortly before that.
+ANSWER_GRACE = 0.5
 
 
 class NextStep(Enum):
@@ -81,6 +84,11 @@
         self._last_received_at = 0.0
         self._retry_at = not_after
 
+    @property
+    def answer_due_at(self) -> float:
+        """When a short answer that is being forwarded has to end."""
+        return self.not_after + ANSWER_GRACE
+
     def receive(self, now: float) -> None:
         """Note received bytes."""
         self._last_received_at = now
--- a/cleatyoke/http/streamed_body.py
+++ b/cleatyoke/http/streamed_body.py
@@ -15,9 +15,6 @@
 from cleatyoke.transport.sockets import limit_read_size
 
 STREAM_IDLE_TIMEOUT = 10.0  # seconds without a byte from the backend after which a streamed body fails
-# The same for a short body, once its request's time is up: the final answer to a request may come half a
-# second late (standing test), and attempts end shortly before the client's deadline.
-SHORT_BODY_IDLE_TIMEOUT = 0.4
 log = structlog.get_logger()
 
 
@@ -36,11 +33,10 @@
 
     Nothing is read before ``start``, and while the body is paused. Beyond the first piece, which came with
     the head, nothing is buffered here: each piece is passed on as it is received. The owner must close the
-    body. If the backend sends nothing for ``STREAM_IDLE_TIMEOUT`` seconds, the body fails; a body that is not
-    started in that time fails and closes itself, so that its connection is not leaked. For a body that is
-    short, or below ``MIN_FORWARDED_BYTES`` so far, ``SHORT_BODY_IDLE_TIMEOUT`` applies after
-    ``wait.not_after``, the loop time at which the attempt would have timed out: these are streamed where
-    memory is short. ``reason``: why it is streamed, for the log.
+    body. A short body, or one that may be short, fails if it is not complete at ``wait.answer_due_at``,
+    however steadily it arrives; a long one fails if the backend sends nothing for ``STREAM_IDLE_TIMEOUT``
+    seconds. A body that is not started in that time fails and closes itself, so that its connection is not
+    leaked. ``reason``: why it is streamed, for the log.
     """
 
     def __init__(
@@ -55,8 +51,8 @@
         self.on_close: Callable[[bool], None] | None = None  # called with whether the connection is reusable
         self._transport = transport
         self._first_piece = response.body
-        self._size = max(len(response.body), response.length or 0)  # known so far
         self._received = len(response.body)  # bytes
+        self._outlasts_deadline = False  # it may end after ``answer_due_at``
         self._wait = wait
         self._reason = reason
         self._on_detach = on_detach  # makes the connection forget this body
@@ -66,7 +62,7 @@
         self._connection_reusable = False
         self._error: MalformedResponseError | None = None
         self._has_ended = False  # the receiver knows of the end
-        self._idle_timer = self._loop.call_at(self._idle_at(), self._time_out)
+        self._timer = self._loop.call_at(self._check_at(), self._check)
         transport.pause_reading()
 
     @property
@@ -77,7 +73,7 @@
     def start(self, receiver: BodyReceiver) -> None:
         """Deliver what has been received, and read on."""
         self._receiver = receiver
-        self._restart_idle_timer()
+        self._restart_timer()
         self._transport.resume_reading()
         piece = self._first_piece
         self._first_piece = b""
@@ -87,13 +83,15 @@
 
     def pause(self) -> None:
         """Stop reading from the backend, whose silence then does not count."""
-        self._idle_timer.cancel()
+        self._timer.cancel()
         self._transport.pause_reading()
 
     def resume(self, piece_bytes: int) -> None:
         """Read on, at most ``piece_bytes`` at once."""
         limit_read_size(self._transport, piece_bytes)
-        self._restart_idle_timer()
+        if self._loop.time() >= self._wait.answer_due_at:  # its client is late, not its backend
+            self._outlasts_deadline = True
+        self._restart_timer()
         self._transport.resume_reading()
 
     def limit_pieces(self, piece_bytes: int) -> None:
@@ -102,10 +100,9 @@
 
     def append(self, piece: bytes) -> None:
         """Deliver bytes that the connection has received."""
-        self._size = max(self._size, self.length or self._size + len(piece))
         self._received += len(piece)
         self._wait.receive(self._loop.time())
-        self._restart_idle_timer()
+        self._restart_timer()
         if piece and self._receiver:
             self._receiver.receive_piece(piece)
 
@@ -124,7 +121,7 @@
 
     def close(self) -> None:
         """Release the connection; ``on_close`` pools it if the body is complete, and aborts it otherwise."""
-        self._idle_timer.cancel()
+        self._timer.cancel()
         self._has_ended = True
         self._receiver = None
         self._on_detach()
@@ -138,21 +135,26 @@
         has_end = self._is_complete or self._error is not None
         if has_end and self._receiver and not self._has_ended:
             self._has_ended = True
-            self._idle_timer.cancel()
+            self._timer.cancel()
             self._receiver.receive_end(self._error)
 
-    def _restart_idle_timer(self) -> None:
-        self._idle_timer.cancel()
+    def _restart_timer(self) -> None:
+        self._timer.cancel()
         if not (self._is_complete or self._has_ended):
-            self._idle_timer = self._loop.call_at(self._idle_at(), self._time_out)
+            self._timer = self._loop.call_at(self._check_at(), self._check)
 
-    def _idle_at(self) -> float:
-        """Return the loop time at which the body fails if nothing is received until then."""
+    def _check_at(self) -> float:
+        """Return the loop time at which the body fails, unless it may outlast its deadline after all."""
+        self._outlasts_deadline = self._outlasts_deadline or self._is_long()
         now = self._loop.time()
-        min_long = MIN_FORWARDED_BYTES if self.length is None else MAX_UNSTREAMED_BYTES + 1
-        if self._size >= min_long:
+        if self._outlasts_deadline:
             return now + STREAM_IDLE_TIMEOUT
-        return max(now, self._wait.not_after) + SHORT_BODY_IDLE_TIMEOUT
+        return max(now, self._wait.answer_due_at)
+
+    def _is_long(self) -> bool:
+        if self.length is not None:
+            return self.length > MAX_UNSTREAMED_BYTES
+        return self._received >= MIN_FORWARDED_BYTES
 
     def _log_failure(self, error: MalformedResponseError) -> None:
         now = self._loop.time()
@@ -167,8 +169,11 @@
             seconds_overdue=round(now - self._wait.not_after, 3),
         )
 
-    def _time_out(self) -> None:
+    def _check(self) -> None:
         is_started = self._receiver is not None
-        self.fail(MalformedResponseError("streamed response body idle for too long"))
+        if self._outlasts_deadline:
+            self.fail(MalformedResponseError("streamed response body idle for too long"))
+        else:
+            self.fail(MalformedResponseError("short response body not complete in time"))
         if not is_started:
             self.close()
