Learn the time to the first byte of an answer that is forwarded, not the pauses within it

Cause: the attempt was reported to the scheduler with the time until the answer was forwarded. The service estimates split that into service and queueing, so a backend that writes one answer slowly seems to have a long queue; its limit shrinks and requests for it are refused as they could not be in time. Class: a measure of one thing (a writer's pace) taken for another (a queue).

Change: AttemptResult.is_incomplete says that the rest is still to come; Core then reports the time until the answer's first byte.

--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -50,13 +50,15 @@
     """Outcome of an attempt, and its answer.
 
     ``units_by_others``: units that the node served this volume through other fronts. ``utilization``:
-    fraction of its capacity that the node reports as in use.
+    fraction of its capacity that the node reports as in use. ``is_incomplete``: the rest of the answer is
+    still to come; the scheduler then learns the time until its first byte, as the rest is not queueing.
     """
 
     outcome: AttemptOutcome
     value: T | None = None
     units_by_others: float = 0.0
     utilization: float | None = None
+    is_incomplete: bool = False
 
 
 MayBegin = Callable[[], bool]  # whether an attempt may still begin: checked directly before its first byte
@@ -87,18 +89,18 @@
     """A request being served: the scheduler's decisions on it, and its running timeouts.
 
     ``answer_timeout`` bounds the final answer, ``attempt_timeout`` the attempt in flight, if any.
-    ``attempts``: number of attempts made so far. ``answer_has_begun``: part of an answer to the current one
-    has been received.
+    ``attempts``: number of attempts made so far. ``answer_began_at``: Unix time at which the first byte of an
+    answer to the current one was received, None before.
     """
 
-    __slots__ = ("answer_has_begun", "answer_timeout", "attempt_timeout", "attempts", "decisions")
+    __slots__ = ("answer_began_at", "answer_timeout", "attempt_timeout", "attempts", "decisions")
 
     def __init__(self) -> None:
         self.decisions: asyncio.Queue[SendAttempt | Reject | FailRequest] = asyncio.Queue()
         self.answer_timeout: asyncio.Timeout | None = None
         self.attempt_timeout: asyncio.Timeout | None = None
         self.attempts = 0
-        self.answer_has_begun = False
+        self.answer_began_at: float | None = None
 
 
 def _events_unchanged(_now: float, events: list[SchedulerEvent]) -> list[SchedulerEvent]:
@@ -193,7 +195,7 @@
         pending = self.pending.get(request_id)
         if pending is None or attempt != pending.attempts - 1:
             return
-        if pending.answer_has_begun:  # it is neither lost nor waiting at a node that hangs
+        if pending.answer_began_at is not None:  # it is neither lost nor waiting at a node that hangs
             return
         timeout = pending.attempt_timeout
         if timeout and not timeout.expired():  # both may be due at once after the process was paused
@@ -205,7 +207,7 @@
         From then on the scheduler does not cancel the attempt: cancelling is for answers that do not come.
         """
         if pending := self.pending.get(request_id):
-            pending.answer_has_begun = True
+            pending.answer_began_at = self.now()
 
     def may_retry(self, arrival: RequestArrived) -> bool:
         """Return whether the request may be sent again if its current attempt ends without an answer."""
@@ -310,7 +312,7 @@
             return self.now() < min(decision.not_after, self.attempt_deadline(arrival))
 
         pending.attempts += 1
-        pending.answer_has_begun = False
+        pending.answer_began_at = None
         result = AttemptResult[T](AttemptOutcome.CANCELLED)
         settled = True  # also if cancelled by a client disconnect; the except branches set it to False
         try:
@@ -328,13 +330,16 @@
             result = AttemptResult(AttemptOutcome.CONNECTION_RESET)  # the request may have executed
         finally:
             pending.attempt_timeout = None
+            ended_at = self.now()
+            if result.is_incomplete and pending.answer_began_at is not None:
+                ended_at = pending.answer_began_at
             self.notify(
                 AttemptFinished(
                     arrival.request_id,
                     number,
                     node_id,
                     result.outcome,
-                    self.now() - sent_at,
+                    ended_at - sent_at,
                     settled,
                     result.units_by_others,
                     result.utilization,
--- a/cleatyoke/http/backends.py
+++ b/cleatyoke/http/backends.py
@@ -248,4 +248,5 @@
         return AttemptResult(outcome)
     elsewhere = decode_served_elsewhere(response.headers)
     utilization = decode_utilization(response.headers)
-    return AttemptResult(outcome, connection.streamed_body or response.body, elsewhere, utilization)
+    body = connection.streamed_body or response.body
+    return AttemptResult(outcome, body, elsewhere, utilization, is_incomplete=response.is_streamed)
--- a/tests/test_http_answers.py
+++ b/tests/test_http_answers.py
@@ -88,7 +88,8 @@
                 result = await self.attempt(1, client_request(str(index)))
                 if isinstance(result.value, StreamedBody):
                     body = b"".join([piece async for piece in iterate(result.value)])
-                    result = replace(result, value=body)
+                    assert result.is_incomplete
+                    result = replace(result, value=body, is_incomplete=False)
                 assert result == AttemptResult(AttemptOutcome.SERVED, b"tile" * (70000 if index == 2 else 1))
                 assert self.backends.open_connections == int(index < 3), (
                     "a connection with trailing bytes must not be reused"
--- a/tests/test_http_streaming.py
+++ b/tests/test_http_streaming.py
@@ -8,9 +8,8 @@
 
 import pytest
 
-from tests.http_case import (
-    FrontCase,
-)
+from cleatyoke.scheduling.events import AttemptFinished, AttemptOutcome, SchedulerEvent
+from tests.http_case import FrontCase
 from tests.scripted_peers import answer
 
 MEGABYTE = 1 << 20
@@ -126,3 +125,28 @@
         await self.wait_until(
             lambda: self.backends.open_connections == 0 and not self.front.connections.clients
         )
+
+    async def test_pauses_within_a_long_response_are_not_learned_as_queueing(self) -> None:
+        # Usual requests were refused, as their backends seemed to have long queues.
+        async def script(_trace: str) -> AsyncIterator[bytes]:
+            async def pieces() -> AsyncIterator[bytes]:
+                yield b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                for _ in range(3):
+                    yield b"%x\r\n%b\r\n" % (30_000, bytes(30_000))
+                    await asyncio.sleep(0.2)
+                yield b"0\r\n\r\n"
+
+            return pieces()
+
+        events: list[SchedulerEvent] = []
+
+        def record(_now: float, step_events: list[SchedulerEvent]) -> list[SchedulerEvent]:
+            events.extend(step_events)
+            return step_events
+
+        await self.start_front(script)
+        self.core.before_step = record
+        assert await self.send_request("t") == (200, bytes(90_000))
+        (finished,) = (event for event in events if isinstance(event, AttemptFinished))
+        assert finished.outcome is AttemptOutcome.SERVED
+        assert finished.elapsed < 0.2
