Forward an answer without a length at the end of its time, and judge it half a second later

Other answers without a length were never ended.

Cause: http/response_wait.py decided twice on too little. 0.15 s before the attempt's time a response that had been silent for two thirds of its time was closed for a retry, which has 0.15 s and meets the same pause; at the attempt's time only what had come in the last third and had 16 KiB was forwarded, and once forwarded it was never ended. Class: a decision that can't be taken back, made at an instant at which what it depends on isn't known yet.

Reproduced without any fault but the pause.

Change: forwarding takes nothing away at the end of the time (it may still be ended where its client can tell, until half a second later), so every answer without a length is forwarded then, and closed for a retry only below the size from which its class's answers are long (AnswerSizes, a count by powers of two; 16 KiB before any was seen) and after 0.75 s of silence. Half a second after its time ResponseWait.judge_overdue decides, in both ways and in a drain and a shutdown too: by size, by its own pauses (AnswerProgress), and by whether its backend goes on answering others (BackendActivity).

--- a/cleatyoke/http/answers.py
+++ b/cleatyoke/http/answers.py
@@ -14,7 +14,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from cleatyoke.http.messages import Header, MalformedResponseError
-from cleatyoke.http.response_wait import MIN_FORWARDED_BYTES, ResponseState
+from cleatyoke.http.response_wait import ResponseState
 from cleatyoke.limits.memory_budget import MAX_UNSTREAMED_BYTES
 from cleatyoke.scheduling.events import AttemptOutcome
 
@@ -80,10 +80,7 @@
             return ResponseState.HEAD_INCOMPLETE
         if self._message.code != 200:
             return ResponseState.ERROR
-        if self._length is not None:
-            return ResponseState.LENGTH_KNOWN
-        is_short_so_far = self.body_bytes() < MIN_FORWARDED_BYTES
-        return ResponseState.SHORT_SO_FAR if is_short_so_far else ResponseState.LENGTH_UNKNOWN
+        return ResponseState.LENGTH_UNKNOWN if self._length is None else ResponseState.LENGTH_KNOWN
 
     def body_bytes(self) -> int:
         """Return how many bytes of a body without a length have been received before it is streamed."""
--- a/cleatyoke/http/backend_connection.py
+++ b/cleatyoke/http/backend_connection.py
@@ -13,6 +13,7 @@
 
 import structlog
 
+from cleatyoke.http.answer_progress import BackendActivity
 from cleatyoke.http.answers import BackendResponse, ResponseReader
 from cleatyoke.http.messages import MalformedResponseError
 from cleatyoke.http.response_wait import NextStep, ResponseWait, StreamReason
@@ -28,12 +29,16 @@
     """A connection to a backend that carries one exchange at a time. Times are loop times in seconds.
 
     ``answers``: the memory that answers share. A short answer that arrives in parts takes its memory there;
-    if there is none, it is streamed like a long one. ``read_bytes``: how much of an answer that is not
-    streamed may be read at once in any case; more, up to ``MAX_UNSTREAMED_BYTES``, as far as memory allows.
+    if there is none, it is streamed like a long one. ``activity``: of the backend, over all its connections.
+    ``read_bytes``: how much of an answer that is not streamed may be read at once in any case; more, up to
+    ``MAX_UNSTREAMED_BYTES``, as far as memory allows.
     """
 
-    def __init__(self, answers: MemoryPool, read_bytes: int = MAX_UNSTREAMED_BYTES) -> None:
+    def __init__(
+        self, answers: MemoryPool, activity: BackendActivity, read_bytes: int = MAX_UNSTREAMED_BYTES
+    ) -> None:
         self.answers = answers
+        self.activity = activity
         self.read_bytes = read_bytes
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
@@ -156,12 +161,12 @@
     def _check_response(self, reader: ResponseReader, wait: ResponseWait) -> None:
         now = self.loop.time()
         fields = {
-            "trace": wait.trace,
+            "trace": wait.request.trace,
             "state": reader.state.name,
             "body_bytes": reader.body_bytes(),
             "silent_seconds": round(wait.silence(now), 3),
         }
-        match wait.next_step(reader.state, now):
+        match wait.next_step(reader.state, reader.body_bytes(), now):
             case NextStep.WAIT:
                 self._schedule_check(reader)
             case NextStep.STREAM | NextStep.USE_HEAD:
@@ -228,13 +233,22 @@
         self._reader = ResponseReader()
         self._response = self.loop.create_future()
         self._wait = wait
+        wait.begin(self.loop.time(), self.activity)
         self._granted_bytes = self.answers.grant(MAX_UNSTREAMED_BYTES - self.read_bytes)
         limit_read_size(self.transport, self.read_bytes + self._granted_bytes)
         self._unsent_pieces = request[::-1]
         self._on_request_written = on_request_written
         self._write_next()
         try:
-            return await self._response
+            response = await self._response
+        except MalformedResponseError:
+            if self._reader:
+                wait.note_failed(self._reader.body_bytes())
+            raise
+        else:
+            if response.status == 200 and not response.is_streamed:
+                wait.request.sizes.record(len(response.body))
+            return response
         finally:
             self._response = None
             self._wait = None
--- a/cleatyoke/http/backends.py
+++ b/cleatyoke/http/backends.py
@@ -9,6 +9,7 @@
 from cleatyoke.config.addresses import Address
 from cleatyoke.core import AttemptResult, MayBegin
 from cleatyoke.discovery.directory import Directory
+from cleatyoke.http.answer_progress import BackendActivity
 from cleatyoke.http.answers import (
     BackendResponse,
     decode_load_probe,
@@ -38,6 +39,7 @@
         self.address = address
         self.is_retired = False  # not reused, as the backend is draining, removed or restarted
         self.idle: deque[BackendConnection] = deque()
+        self.activity = BackendActivity()
 
 
 class BackendPools:
@@ -170,7 +172,7 @@
         async with asyncio.timeout(self.connect_timeout):
             loop = asyncio.get_running_loop()
             _, connection = await loop.create_connection(
-                partial(BackendConnection, self.answers, self.response_read_bytes),
+                partial(BackendConnection, self.answers, pool.activity, self.response_read_bytes),
                 pool.address.host,
                 pool.address.port,
             )
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Callable
 from functools import partial
 
@@ -21,6 +22,7 @@
 from cleatyoke.config.addresses import Address
 from cleatyoke.config.deployment import Config
 from cleatyoke.core import ATTEMPT_MARGIN, AttemptResult, Core, Failed, MayBegin, Rejected, Served
+from cleatyoke.http.answer_sizes import AnswerSizes
 from cleatyoke.http.backends import BackendPools
 from cleatyoke.http.body_limits import BodyMemory
 from cleatyoke.http.body_reader import BodyMemoryError, BodyReader, BodyTooLongError
@@ -29,7 +31,7 @@
 from cleatyoke.http.messages import Header, IdempotencyKeyError, MessageError
 from cleatyoke.http.request_head import BodyKind
 from cleatyoke.http.requests import ClientRequest, decode_request
-from cleatyoke.http.response_wait import ResponseWait
+from cleatyoke.http.response_wait import ANSWER_GRACE, AwaitedRequest, ResponseWait
 from cleatyoke.http.streamed_body import StreamedBody
 from cleatyoke.http.streaming import IS_TRUNCATED, forward_streamed_body
 from cleatyoke.http.trace_ids import TraceIds
@@ -95,6 +97,7 @@
         self.is_closing = False
         self.listener: Listener | None = None
         self.address = config.listen
+        self._answer_sizes: defaultdict[int, AnswerSizes] = defaultdict(AnswerSizes)  # by class
         self._streams = 0  # answers that are being forwarded as they arrive
         self._logged_at: dict[str, float] = {}  # loop time by event
         self._responses_due_at: float | None = None  # Unix time, during a shutdown
@@ -275,10 +278,10 @@
             not_after = deadline - ATTEMPT_MARGIN - self.core.unix_offset
             wait = ResponseWait(
                 not_after,
+                awaited,
                 may_retry=self.core.may_retry(arrival),
                 on_begun=partial(self.core.note_answer_begun, arrival.request_id),
-                may_forward=lambda: self._responses_due_at is None,
-                trace=decoded.trace_id,
+                may_forward=lambda: self._outlasts_answers_due_at(deadline + ANSWER_GRACE),
             )
 
             def may_send() -> bool:
@@ -289,6 +292,7 @@
 
             return await self.backends.attempt(node, decoded, wait, may_send)
 
+        awaited = AwaitedRequest(decoded.trace_id, self._answer_sizes[decoded.class_index])
         arrival = RequestArrived(
             request_id=self.core.new_id(),
             class_index=decoded.class_index,
@@ -344,6 +348,10 @@
         finally:
             self._streams -= 1
 
+    def _outlasts_answers_due_at(self, unix_time: float) -> bool:
+        """Return whether the process still forwards answers at that time."""
+        return self._responses_due_at is None or unix_time <= self._responses_due_at
+
     def _count_rejected(self, class_name: str) -> None:
         """Count and log a request that was rejected before it was open."""
         if class_name in self.config.classes:
--- a/tests/slow_response_case.py
+++ b/tests/slow_response_case.py
@@ -13,6 +13,7 @@
 UNTIL_CLOSE = b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 GRACE = 0.5  # seconds that the standing test grants a final answer beyond its client's wait
+USUAL_INTERVAL = 0.05  # seconds between two usual requests
 Part = float | bytes  # seconds of silence, or bytes; empty bytes close the connection
 
 
@@ -87,3 +88,11 @@
                     is_whole = size == 0
         writer.close()
         return ReceivedAnswer(head[9:12], received, is_whole, begun, loop.time() - sent_at)
+
+    async def send_usual_requests(self) -> None:
+        """Send short requests to the same backend until cancelled; each has to be served."""
+        number = 0
+        while True:
+            assert await self.send_request(f"usual-{number}") == (200, b"tile")
+            number += 1
+            await asyncio.sleep(USUAL_INTERVAL)
