Don't pause aiohttp's parser behind the end of a chunked body, which answered 500

Cause: BodyReader pauses its sender while it waits; aiohttp's parser asserts that a body is under way when it is paused, which it isn't once the last chunk has been parsed. Class: a state of the library that the caller doesn't check.

Change: both waits pause only where the body isn't complete (BodyReader._reading_paused).

--- a/cleatyoke/http/body_reader.py
+++ b/cleatyoke/http/body_reader.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
@@ -175,19 +176,25 @@
         if received < FREE_CHUNKED_BYTES or size >= received * MIN_DATA_FRACTION:
             return
         self._sender.limit_reads(TINY_CHUNKS_READ_BYTES)
-        self._sender.pause_reading()
-        try:
+        with self._reading_paused():
             await asyncio.sleep(TINY_CHUNKS_PAUSE)
-        finally:
-            self._sender.resume_reading()
 
     async def _wait_for(self, reserve: Callable[[], bool]) -> None:
         """Wait until ``reserve`` succeeds; meanwhile nothing is read."""
         if reserve():
             return
+        with self._reading_paused():
+            await self._poll(reserve)
+
+    @contextmanager
+    def _reading_paused(self) -> Iterator[None]:
+        """Read nothing meanwhile; aiohttp's parser can't be paused once it has the whole body."""
+        if self._content.is_eof():
+            yield
+            return
         self._sender.pause_reading()
         try:
-            await self._poll(reserve)
+            yield
         finally:
             self._sender.resume_reading()
 
--- a/tests/test_http_bodies.py
+++ b/tests/test_http_bodies.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from cleatyoke.http.body_limits import BodyMemory, body_timeout
 from cleatyoke.limits.memory_budget import MAX_UPLOAD_BYTES, UNRESERVED_BYTES
@@ -105,6 +106,33 @@
         assert client.received_bytes < 64 * 1024
         writer.transport.abort()
 
+    async def test_client_that_writes_tiny_chunks_slowly_is_served(self) -> None:
+        await self.start_answering_front()
+        head = self.request_head("tiny", "Transfer-Encoding: chunked", method="PUT").replace(b"1500", b"400")
+        reader, writer = await self.connect(head.replace(b"tile-read", b"record-write"))
+        for chunks in (2_400, 100, 100, 100):
+            writer.write(b"2\r\nxx\r\n" * chunks)
+            await asyncio.sleep(0.4)
+        writer.write(b"0\r\n\r\n")
+        async with asyncio.timeout(0.95):
+            assert b" 200 " in await reader.readline()
+        writer.close()
+
+    async def test_complete_chunked_body_that_waits_for_memory_is_served(self) -> None:
+        # It got 500: aiohttp's parser can't be paused behind the end of a body.
+        await self.start_answering_front()
+        head = self.request_head("t", "Transfer-Encoding: chunked", method="PUT")
+        with mock.patch.object(
+            self.front.body_memory, "reserve", side_effect=[False, False, True]
+        ) as patched:
+            reader, writer = await self.connect(
+                head.replace(b"tile-read", b"record-write"), b"4\r\ntile\r\n0\r\n\r\n"
+            )
+            async with asyncio.timeout(1.0):
+                assert b" 200 " in await reader.readline()
+        assert patched.call_count == 3
+        writer.close()
+
     async def test_short_body_in_tiny_chunks_is_served_at_once(self) -> None:
         await self.start_front(answer_at_once)
         head = self.request_head("tiny", "Transfer-Encoding: chunked", method="PUT")
