Count the slow reading of a body in tiny chunks off its request's time

Cause: the front reads such a body at 1 KiB each 0.1 s, so that it leaves processor time to others, while its last byte lies in the kernel. Waits for memory are taken off the request's time (lag); these pauses were not. Class: a time counted from when the front read, not from when the client wrote.

Change: the pauses add to the lag, with its bound of four fifths of the client's time; then 503, nothing forwarded.

Test: test_upload_in_tiny_chunks_is_answered_by_half_a_second_after_its_time failed before and passes; test_client_that_writes_tiny_chunks_slowly_is_served guards the others.

--- a/cleatyoke/http/body_reader.py
+++ b/cleatyoke/http/body_reader.py
@@ -33,8 +33,12 @@
     """A body exceeds the longest accepted one."""
 
 
-class BodyMemoryError(Exception):
-    """No memory became free for a body in time; nothing of its request was forwarded."""
+class BodyDelayedError(Exception):
+    """The front had to delay reading a body for too long; nothing of its request was forwarded."""
+
+
+class BodyMemoryError(BodyDelayedError):
+    """No memory became free for a body in time."""
 
 
 class BodySender(Hashable, Protocol):
@@ -65,7 +69,7 @@
     """A complete body.
 
     ``lag``: seconds by which its last byte may have been written before the front read it, because reading
-    had to wait for memory.
+    had to wait for memory or was slowed down.
     """
 
     pieces: list[bytes]
@@ -104,9 +108,9 @@
     """Reads one body; its memory is reserved for ``sender``, which has to release it.
 
     While memory is short, nothing is read: TCP flow control stops the client, and the time does not count
-    towards the timeout of the body. The last byte may have been written meanwhile, so the front may wait at
-    most a part of ``max_wait``, the seconds that the client waits for its response. ``lag``: seconds for
-    which nothing was read already.
+    towards the timeout of the body. Bodies in tiny chunks are read slowly. The last byte may have been
+    written meanwhile, so the front may wait at most a part of ``max_wait``, the seconds that the client waits
+    for its response. ``lag``: seconds for which nothing was read already.
     """
 
     def __init__(
@@ -127,7 +131,7 @@
 
         A declared length is reserved before anything is read, so that bodies do not hold memory which is of
         no use before others release theirs. Raises ``TimeoutError`` if the body arrives too slowly (see
-        ``body_timeout``), ``BodyTooLongError`` and ``BodyMemoryError``.
+        ``body_timeout``), ``BodyTooLongError`` and ``BodyDelayedError``.
         """
         if declared_size is not None:
             await self._wait_for(partial(self._memory.reserve_whole, self._sender, declared_size))
@@ -175,9 +179,13 @@
         received = self._sender.received_bytes
         if received < FREE_CHUNKED_BYTES or size >= received * MIN_DATA_FRACTION:
             return
+        if self._lag >= self._max_lag:
+            raise BodyDelayedError
         self._sender.limit_reads(TINY_CHUNKS_READ_BYTES)
+        paused_at = self._loop.time()
         with self._reading_paused():
             await asyncio.sleep(TINY_CHUNKS_PAUSE)
+        self._lag += self._loop.time() - paused_at
 
     async def _wait_for(self, reserve: Callable[[], bool]) -> None:
         """Wait until ``reserve`` succeeds; meanwhile nothing is read."""
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -25,7 +25,7 @@
 from cleatyoke.http.answer_sizes import AnswerSizes
 from cleatyoke.http.backends import BackendPools
 from cleatyoke.http.body_limits import BodyMemory
-from cleatyoke.http.body_reader import BodyMemoryError, BodyReader, BodyTooLongError
+from cleatyoke.http.body_reader import BodyDelayedError, BodyMemoryError, BodyReader, BodyTooLongError
 from cleatyoke.http.client_connection import ClientConnection
 from cleatyoke.http.client_connections import ClientConnections
 from cleatyoke.http.messages import Header, IdempotencyKeyError, MessageError
@@ -52,7 +52,7 @@
 _UNACCEPTABLE_REQUEST = (
     TimeoutError,
     BodyTooLongError,
-    BodyMemoryError,
+    BodyDelayedError,
     web.RequestPayloadError,
     MessageError,
 )
@@ -424,7 +424,7 @@
         return web.Response(status=408)
     if isinstance(error, BodyTooLongError):
         return web.Response(status=413)
-    if isinstance(error, BodyMemoryError):
+    if isinstance(error, BodyDelayedError):
         return web.Response(status=503)
     if isinstance(error, web.RequestPayloadError):
         return web.Response(status=400, text="unreadable body\n")
--- a/tests/test_http_bodies.py
+++ b/tests/test_http_bodies.py
@@ -106,6 +106,17 @@
         assert client.received_bytes < 64 * 1024
         writer.transport.abort()
 
+    async def test_upload_in_tiny_chunks_is_answered_by_half_a_second_after_its_time(self) -> None:
+        # It got 408 seconds later, as the front read slowly what its client had written at once.
+        await self.start_answering_front()
+        head = self.request_head("tiny", "Transfer-Encoding: chunked", method="PUT").replace(b"1500", b"400")
+        body = b"2\r\nxx\r\n" * 10_000 + b"0\r\n\r\n"
+        reader, writer = await self.connect(head.replace(b"tile-read", b"record-write"), body)
+        async with asyncio.timeout(0.95):
+            assert b" 503 " in await reader.readline()
+        writer.close()
+        assert not self.backend.counts
+
     async def test_client_that_writes_tiny_chunks_slowly_is_served(self) -> None:
         await self.start_answering_front()
         head = self.request_head("tiny", "Transfer-Encoding: chunked", method="PUT").replace(b"1500", b"400")
