Let no timeout end an answer that is being forwarded, when both are due at once

Cause: asyncio's log has the event loop held up for 0.326 s, from 0.10 s before the request's time on. Then the decision to forward (0.06 s before the attempt's time), the attempt's timeout and that of the answer were due in one iteration: the first completed the exchange, the second cancelled the task that was to read it. Class: two timers with one meaning, of which the later undoes the earlier.

Change: an answer that begins to be forwarded ends its request's timeouts (Core.note_answer_forwarded); a decision that is due already is made at once instead of by a timer behind them.

Test: test_answer_is_forwarded_after_the_front_was_held_up_at_the_end_of_its_time (0.14 s) got 502 before and passes.

--- a/cleatyoke/core.py
+++ b/cleatyoke/core.py
@@ -209,6 +209,17 @@
         if pending := self.pending.get(request_id):
             pending.answer_began_at = self.now()
 
+    def note_answer_forwarded(self, request_id: str) -> None:
+        """Note that the answer to the request's current attempt is being forwarded: no timeout ends it.
+
+        After the process was held up, its timeouts may be due in the same iteration of the event loop.
+        """
+        pending = self.pending.get(request_id)
+        timeouts = (pending.attempt_timeout, pending.answer_timeout) if pending else ()
+        for timeout in timeouts:
+            if timeout and not timeout.expired():
+                timeout.reschedule(None)
+
     def may_retry(self, arrival: RequestArrived) -> bool:
         """Return whether the request may be sent again if its current attempt ends without an answer."""
         pending = self.pending.get(arrival.request_id)
--- a/cleatyoke/http/backend_connection.py
+++ b/cleatyoke/http/backend_connection.py
@@ -136,6 +136,7 @@
     ) -> None:
         assert self.transport
         assert self._wait
+        self._wait.request.on_forwarded()
         body = StreamedBody(self.transport, response, self._wait, reason, self.end_streaming)
         self.streamed_body = body
         if reader.is_complete:
@@ -155,8 +156,12 @@
             return
         if self._response_timer:
             self._response_timer.cancel()
-        at = self._wait.next_check_at(reader.state, self.loop.time())
-        self._response_timer = self.loop.call_at(at, self._check_response, reader, self._wait)
+        now = self.loop.time()
+        at = self._wait.next_check_at(reader.state, now)
+        if at <= now:  # a timer would run after those that are due already
+            self._check_response(reader, self._wait)
+        else:
+            self._response_timer = self.loop.call_at(at, self._check_response, reader, self._wait)
 
     def _check_response(self, reader: ResponseReader, wait: ResponseWait) -> None:
         now = self.loop.time()
--- a/cleatyoke/http/response_wait.py
+++ b/cleatyoke/http/response_wait.py
@@ -79,11 +79,18 @@
     """What is known of a request whose response is awaited; its attempts share it.
 
     ``trace``: its id, for the log. ``sizes``: of its class's answers. ``reached_bytes``: the most that
-    came of the body in an attempt without a known length that failed.
+    came of the body in an attempt without a known length that failed. ``on_forwarded``: called when an answer
+    begins to be forwarded before its end.
     """
 
-    def __init__(self, trace: str = "", sizes: AnswerSizes | None = None) -> None:
+    def __init__(
+        self,
+        trace: str = "",
+        sizes: AnswerSizes | None = None,
+        on_forwarded: Callable[[], None] = lambda: None,
+    ) -> None:
         self.trace = trace
+        self.on_forwarded = on_forwarded
         self.sizes = sizes or AnswerSizes()
         self.reached_bytes = 0
 
--- a/cleatyoke/http/server.py
+++ b/cleatyoke/http/server.py
@@ -292,9 +292,14 @@
 
             return await self.backends.attempt(node, decoded, wait, may_send)
 
-        awaited = AwaitedRequest(decoded.trace_id, self._answer_sizes[decoded.class_index])
+        request_id = self.core.new_id()
+        awaited = AwaitedRequest(
+            decoded.trace_id,
+            self._answer_sizes[decoded.class_index],
+            partial(self.core.note_answer_forwarded, request_id),
+        )
         arrival = RequestArrived(
-            request_id=self.core.new_id(),
+            request_id=request_id,
             class_index=decoded.class_index,
             plan_index=decoded.plan_index,
             volume_id=decoded.volume_id,
--- a/tests/test_slow_responses.py
+++ b/tests/test_slow_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from dataclasses import replace
 
@@ -155,6 +156,14 @@
         assert got.is_whole
         assert got.ended < WAIT + GRACE
 
+    async def test_answer_is_forwarded_after_the_front_was_held_up_at_the_end_of_its_time(self) -> None:
+        # The attempt's timeout was due in the same iteration of the event loop, and ended it.
+        await self.start_playing(lambda _trace, _: [CHUNKED, chunk(30_000), 0.6, chunk(90_000), LAST_CHUNK])
+        asyncio.get_running_loop().call_later(0.28, time.sleep, 0.14)
+        got = await self.read_answer("t")
+        assert (got.status, got.size, got.is_whole) == (b"200", 120_000, True), got
+        assert got.begun < WAIT + 0.05
+
     async def test_answers_that_hang_leave_open_requests_to_usual_clients(self) -> None:
         # Each answer that is being forwarded holds an open request for as long as its backend hangs.
         async def script(trace: str) -> AsyncIterator[bytes]:
