--- a/tests/test_answers_of_unknown_length.py
+++ b/tests/test_answers_of_unknown_length.py
@@ -129,8 +129,8 @@
 
     async def test_long_answer_that_begins_with_little_is_awaited_beyond_its_time(self) -> None:
         little: dict[str, list[float | int]] = {
-            "first-2k": [2_000, 0.7, 150_000],
-            "first-300b": [300, 0.7, 150_000],
+            "first-2k": [2_000, 0.75, 150_000],
+            "first-300b": [300, 0.75, 150_000],
             "head-first": [0.45, 150_000],
         }
         await self.expect_whole(little, 0.4, 0.7)
